--- /dev/null
+++ b/packages/ctl/zz_placeholder.cpp
@@ -0,0 +1,1 @@
+namespace {}
--- /dev/null
+++ b/packages/decide/claim.h
@@ -0,0 +1,163 @@
+// The life cycle of one call that may not be repeated.
+#ifndef MIMOSADALE_DECIDE_CLAIM_H
+#define MIMOSADALE_DECIDE_CLAIM_H
+
+#include "base/id.h"
+#include "base/units.h"
+#include "decide/refusal.h"
+#include "schema/generated/rows.pb.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace mimosadale::decide {
+
+/// What a call asks for and who carries it.
+struct ClaimStart {
+  WorkspaceId m_Workspace;
+  ServiceId m_Service;
+  std::string m_Key;
+  std::string m_BodyHash;
+  AttemptId m_Attempt;
+  PeerId m_Holder;
+  Incarnation m_HolderIncarnation{};
+  Instant m_Deadline{};    // of the caller
+  Instant m_SendBefore{};  // counted from before the first insert was sent
+  bool m_TrustedNotRun = false;
+};
+
+/// How a conditional write of the claim's row ended.
+struct ClaimWrite {
+  enum class Kind {
+    Committed,  // m_Version is the row's new version
+    Conflict,   // m_Version and m_Row are what stands there; 0 when none
+    Unknown,    // the answer was lost
+    NotApplied, // the table did not take it, and says or proves so
+    Limited     // the fleet's share of the table's writes is used up
+  };
+  Kind m_Kind = Kind::NotApplied;
+  std::uint64_t m_Version = 0;
+  schema::ClaimRow m_Row;
+};
+
+/// How the one dispatch to the endpoint ended.
+struct ClaimDispatch {
+  enum class Kind {
+    Answered,   // a whole answer
+    NeverSent,  // the connection was never established
+    SaidNotRun, // the endpoint says that it did nothing
+    Lost        // anything else
+  };
+  Kind m_Kind = Kind::Lost;
+  std::uint32_t m_Status = 0;
+  std::string m_Type;
+  std::string m_Body;
+};
+
+/// Write the row if its version still is \p m_Expect.
+struct WriteClaim {
+  std::uint64_t m_Expect = 0;
+  schema::ClaimRow m_Row;
+  Duration m_Delay{};
+};
+
+/// Ask the row's holder whether it still works on the claim.
+struct AskHolder {
+  schema::ClaimRow m_Row;
+};
+
+/// Dispatch the call. At most one dispatch is ever in progress, and none
+/// follows one that may have sent a byte.
+struct DispatchClaim {};
+
+/// Answer the caller with what the endpoint or the row says.
+struct AnswerClaim {
+  std::uint32_t m_Status = 0;
+  std::string m_Type;
+  std::string m_Body;
+  std::string m_Object; // the body is in the object store under this name
+  bool m_Repeated = false;
+};
+
+/// Refuse the caller.
+struct RefuseClaim {
+  Refusal m_Refusal;
+};
+
+using ClaimAction = std::variant<WriteClaim, AskHolder, DispatchClaim,
+                                 AnswerClaim, RefuseClaim>;
+using ClaimActions = std::vector<ClaimAction>;
+
+/// What a holder says about a claim.
+enum class HolderWord { InProgress, NotInProgress, Dead };
+
+/// Claim, then send: only the router whose conditional insert stands dispatches
+/// the call, once; a claim is never taken over, not after any time, because its
+/// holder may be paused right before its write. The ways weighed are in
+/// docs/design/claims.md.
+///
+/// \par Thread safety
+/// None; owned by one coroutine.
+class Claim {
+public:
+  explicit Claim(ClaimStart Start);
+
+  /// Inserts the claim. \pre Called once, first.
+  ClaimActions start(Instant Now);
+
+  /// The result of the last `WriteClaim`.
+  ClaimActions onWrite(const ClaimWrite &Result, Instant Now);
+
+  /// The answer to `AskHolder`.
+  ClaimActions onHolder(HolderWord Word);
+
+  /// The result of `DispatchClaim`.
+  ClaimActions onDispatch(const ClaimDispatch &Result, Instant Now);
+
+  /// The caller's deadline passed. Refused at once; what is in progress goes
+  /// on until the row tells the truth.
+  ClaimActions onDeadline();
+
+  /// Whether the caller has its final answer.
+  bool answered() const { return m_Answered; }
+
+  /// Whether nothing is left to do.
+  bool finished() const { return m_Step == Step::Finished; }
+
+  schema::RunState runState() const { return m_Run.state(); }
+
+private:
+  enum class Step { Inserting, Asking, Sending, Recording, Releasing, Finished };
+
+  schema::ClaimRow row(schema::ClaimState State) const;
+  ClaimActions insert(std::uint64_t Expect, Duration Delay);
+  ClaimActions won(std::uint64_t Version, Instant Now);
+  ClaimActions meetRow(const ClaimWrite &Standing, Instant Now);
+  ClaimActions release(Duration Delay);
+  ClaimActions record(Duration Delay);
+  ClaimActions refuse(schema::Reason Why, std::string Detail,
+                      std::optional<Duration> RetryAfter = std::nullopt);
+  ClaimActions refuseEarlier(schema::Reason Why, std::string Detail,
+                             std::optional<Duration> RetryAfter = std::nullopt);
+  ClaimActions afterInsertFailed(const ClaimWrite &Result, Instant Now);
+  ClaimActions afterReleaseWrite(const ClaimWrite &Result);
+  ClaimActions afterRecordWrite(const ClaimWrite &Result);
+  Duration nextDelay();
+
+  ClaimStart m_Start;
+  RunTracker m_Run;
+  Step m_Step = Step::Inserting;
+  std::uint64_t m_Expect = 0;   // version that the last write expected
+  std::uint64_t m_Version = 0;  // of our row, once known
+  bool m_MayStand = false;      // an insert of ours may stand or land late
+  bool m_Answered = false;
+  bool m_AskedBefore = false;
+  unsigned m_Dispatches = 0;
+  Duration m_Delay{};
+  schema::ClaimRow m_Outcome;   // what is to be recorded
+};
+
+} // namespace mimosadale::decide
+
+#endif
--- /dev/null
+++ b/packages/decide/endpoint_directory.cpp
@@ -0,0 +1,217 @@
+#include "decide/endpoint_directory.h"
+
+#include <algorithm>
+
+namespace mimosadale::decide {
+
+void EndpointDirectory::adopt(const schema::Declaration &Declared, Instant) {
+  std::map<EndpointId, Entry> Kept;
+  m_Services.clear();
+  m_Layers.clear();
+  for (const schema::Endpoint &Each : Declared.endpoints()) {
+    const EndpointId Name(Each.name());
+    const auto Held = m_Entries.find(Name);
+    const bool Same = Held != m_Entries.end() &&
+                      Held->second.m_Declared.address() == Each.address();
+    Entry Next = Same ? std::move(Held->second) : Entry();
+    Next.m_Declared = Each;
+    Kept.emplace(Name, std::move(Next));
+    if (Each.kind() == schema::PLAIN)
+      m_Services[ServiceId(Each.service())].push_back(Name);
+  }
+  for (const schema::Model &Each : Declared.models())
+    m_Layers[{Each.name(), Each.version()}] = Each.layers();
+  m_Entries = std::move(Kept);
+  m_Choosers.clear();
+}
+
+EndpointDirectory::Entry *EndpointDirectory::find(const EndpointId &Endpoint) {
+  const auto Found = m_Entries.find(Endpoint);
+  return Found == m_Entries.end() ? nullptr : &Found->second;
+}
+
+const EndpointDirectory::Entry *
+EndpointDirectory::find(const EndpointId &Endpoint) const {
+  const auto Found = m_Entries.find(Endpoint);
+  return Found == m_Entries.end() ? nullptr : &Found->second;
+}
+
+std::string EndpointDirectory::address(const EndpointId &Endpoint) const {
+  const Entry *Held = find(Endpoint);
+  return Held ? Held->m_Declared.address() : "";
+}
+
+bool EndpointDirectory::isEngine(const EndpointId &Endpoint) const {
+  const Entry *Held = find(Endpoint);
+  return Held && Held->m_Declared.kind() == schema::ENGINE;
+}
+
+bool EndpointDirectory::near(const schema::Endpoint &Declared) const {
+  return Declared.data_centre() == m_Here.str();
+}
+
+std::shared_ptr<const PathChooser>
+EndpointDirectory::chooser(const ModelRef &Model) {
+  const auto Layers = m_Layers.find(Model);
+  if (Layers == m_Layers.end())
+    return nullptr;
+  auto &Cached = m_Choosers[Model];
+  if (Cached)
+    return Cached;
+  std::vector<EngineView> Engines;
+  for (const auto &[Name, Held] : m_Entries) {
+    const schema::Endpoint &Each = Held.m_Declared;
+    if (Each.kind() != schema::ENGINE || Each.model() != Model.m_Name ||
+        Each.version() != Model.m_Version || !Held.m_Health.usable())
+      continue;
+    Engines.push_back({Name,
+                       {Each.first_layer(), Each.end_layer()},
+                       Each.tokens_per_second(),
+                       fromSeconds(Each.link_ms() / 1000)});
+  }
+  Cached = std::make_shared<PathChooser>(std::move(Engines), Layers->second);
+  return Cached;
+}
+
+EngineLoad EndpointDirectory::load(const EndpointId &Endpoint,
+                                   Instant Now) const {
+  const Entry *Held = find(Endpoint);
+  return Held ? Held->m_Health.load(Now) : EngineLoad();
+}
+
+std::optional<EndpointId>
+EndpointDirectory::chooseService(const ServiceId &Service,
+                                 const EndpointSet &Avoid, Random &Rng) const {
+  const auto Found = m_Services.find(Service);
+  if (Found == m_Services.end())
+    return std::nullopt;
+  std::vector<const EndpointId *> Near;
+  std::vector<const EndpointId *> Far;
+  for (const EndpointId &Each : Found->second) {
+    const Entry &Held = *find(Each);
+    if (!Held.m_Health.usable() || Avoid.contains(Each))
+      continue;
+    (near(Held.m_Declared) ? Near : Far).push_back(&Each);
+  }
+  const auto &From = Near.empty() ? Far : Near;
+  if (From.empty())
+    return std::nullopt;
+  std::uniform_int_distribution<std::size_t> Draw(0, From.size() - 1);
+  const EndpointId *First = From[Draw(Rng)];
+  const EndpointId *Second = From[Draw(Rng)];
+  const bool SecondIsFreer = find(*Second)->m_Health.inFlight() <
+                             find(*First)->m_Health.inFlight();
+  return SecondIsFreer ? *Second : *First;
+}
+
+// Drops the choosers when an endpoint's use changed, and keeps the news.
+void EndpointDirectory::noteChange(const EndpointId &Endpoint, Entry &Changed) {
+  const bool Usable = Changed.m_Health.usable();
+  const bool Leaving = Changed.m_Health.leaving();
+  if (Usable == Changed.m_WasUsable && Leaving == Changed.m_WasLeaving)
+    return;
+  Changed.m_WasUsable = Usable;
+  Changed.m_WasLeaving = Leaving;
+  m_Choosers.erase({Changed.m_Declared.model(), Changed.m_Declared.version()});
+  const bool Suspect =
+      Changed.m_Health.state() != EndpointHealth::State::Usable;
+  m_Changes.push_back({Endpoint, Leaving, Suspect});
+}
+
+void EndpointDirectory::onSent(const EndpointId &Endpoint) {
+  if (Entry *Held = find(Endpoint))
+    Held->m_Health.onSent();
+}
+
+void EndpointDirectory::onReply(const EndpointId &Endpoint,
+                                std::uint64_t Positions, Duration Latency,
+                                const schema::Load *Load, Instant Now) {
+  if (Entry *Held = find(Endpoint)) {
+    Held->m_Health.onReply(Positions, Latency, Load, Now);
+    noteChange(Endpoint, *Held);
+  }
+}
+
+void EndpointDirectory::onFault(const EndpointId &Endpoint, bool ConnectFailed,
+                                Instant Now) {
+  if (Entry *Held = find(Endpoint)) {
+    Held->m_Health.onFault(ConnectFailed, Now);
+    noteChange(Endpoint, *Held);
+  }
+}
+
+void EndpointDirectory::onProbe(const EndpointId &Endpoint, bool Answered,
+                                const schema::Load *Load, Instant Now) {
+  if (Entry *Held = find(Endpoint)) {
+    Held->m_Health.onProbe(Answered, Load, Now);
+    noteChange(Endpoint, *Held);
+  }
+}
+
+void EndpointDirectory::onPeerWord(const EndpointId &Endpoint, bool Suspect,
+                                   Instant Now) {
+  if (Entry *Held = find(Endpoint)) {
+    Held->m_Health.onPeerWord(Suspect, Now);
+    noteChange(Endpoint, *Held);
+  }
+}
+
+void EndpointDirectory::setLeaving(const std::string &Subject,
+                                   LeaveSource Source, bool Leaving) {
+  for (auto &[Name, Held] : m_Entries) {
+    if (Name.str() != Subject && Held.m_Declared.host() != Subject)
+      continue;
+    Held.m_Health.setLeaving(Source, Leaving);
+    noteChange(Name, Held);
+  }
+}
+
+void EndpointDirectory::replaceLeaving(
+    LeaveSource Source, const std::vector<std::string> &Subjects) {
+  const std::set<std::string> Named(Subjects.begin(), Subjects.end());
+  for (auto &[Name, Held] : m_Entries) {
+    const bool Leaving = Named.contains(Name.str()) ||
+                         Named.contains(Held.m_Declared.host());
+    Held.m_Health.setLeaving(Source, Leaving);
+    noteChange(Name, Held);
+  }
+}
+
+Duration EndpointDirectory::silentBound(const EndpointId &Endpoint,
+                                        std::uint64_t Positions, Duration Least,
+                                        Duration Most) const {
+  const Entry *Held = find(Endpoint);
+  if (!Held)
+    return Most;
+  return Held->m_Health.silentBound(
+      Positions, Held->m_Declared.tokens_per_second(), Least, Most);
+}
+
+std::vector<EndpointId> EndpointDirectory::takeProbes(
+    Duration Quiet, Instant Now,
+    const std::function<bool(const EndpointId &)> &Watches) {
+  std::vector<EndpointId> Due;
+  for (auto &[Name, Held] : m_Entries) {
+    const bool Suspicious = Held.m_Health.takeProbe(Now);
+    const bool QuietOne =
+        Held.m_Health.state() == EndpointHealth::State::Usable &&
+        Held.m_Health.quietSince(Quiet, Now) && Watches(Name);
+    if (Suspicious || QuietOne)
+      Due.push_back(Name);
+  }
+  return Due;
+}
+
+std::vector<EndpointChange> EndpointDirectory::takeChanges() {
+  return std::exchange(m_Changes, {});
+}
+
+std::vector<EndpointStatus> EndpointDirectory::status() const {
+  std::vector<EndpointStatus> All;
+  for (const auto &[Name, Held] : m_Entries)
+    All.push_back({Name, Held.m_Health.state(), Held.m_Health.leaving(),
+                   Held.m_Health.inFlight()});
+  return All;
+}
+
+} // namespace mimosadale::decide
--- /dev/null
+++ b/packages/decide/write_batcher.cpp
@@ -0,0 +1,100 @@
+#include "decide/write_batcher.h"
+
+#include <algorithm>
+#include <set>
+
+namespace mimosadale::decide {
+
+namespace {
+
+// Transactions that may be sent at once after a quiet time, in seconds of the
+// rate.
+constexpr double BurstSeconds = 0.1;
+
+} // namespace
+
+void WriteBatcher::setRate(double TransactionsPerSecond) {
+  m_Limits.m_TransactionsPerSecond = TransactionsPerSecond;
+}
+
+WriteBatcher::Intake WriteBatcher::add(PendingWrite Write) {
+  if (Write.m_Urgent && m_Down)
+    return Intake::Down;
+  if (Write.m_Urgent && m_Urgent >= m_Limits.m_MostUrgent)
+    return Intake::Limited;
+  m_Urgent += Write.m_Urgent ? 1 : 0;
+  m_Waiting.push_back(std::move(Write));
+  return Intake::Queued;
+}
+
+void WriteBatcher::refill(Instant Now) {
+  const double Rate = m_Limits.m_TransactionsPerSecond;
+  const double Most = std::max(1.0, Rate * BurstSeconds);
+  if (m_Filled != Instant())
+    m_Tokens = std::min(Most, m_Tokens + seconds(Now - m_Filled) * Rate);
+  m_Filled = Now;
+}
+
+bool WriteBatcher::worthSending(Instant Now) const {
+  return m_Urgent > 0 || m_Waiting.size() >= m_Limits.m_BatchRows ||
+         Now >= m_Waiting.front().m_Queued + m_Limits.m_Window;
+}
+
+std::vector<PendingWrite> WriteBatcher::take(Instant Now) {
+  refill(Now);
+  if (m_InProgress || m_Waiting.empty() || !worthSending(Now) ||
+      m_Tokens < 1 || (m_Down && Now < m_NextTry))
+    return {};
+  std::vector<PendingWrite> Batch;
+  std::deque<PendingWrite> Rest;
+  std::set<std::string> Keys;
+  // Urgent writes first, so that a backlog of others does not hold them up.
+  std::stable_partition(m_Waiting.begin(), m_Waiting.end(),
+                        [](const PendingWrite &Each) { return Each.m_Urgent; });
+  for (PendingWrite &Each : m_Waiting) {
+    const bool Fits = Batch.size() < m_Limits.m_BatchRows &&
+                      Keys.insert(Each.m_Key).second;
+    if (Fits) {
+      m_Urgent -= Each.m_Urgent ? 1 : 0;
+      Batch.push_back(std::move(Each));
+    } else {
+      Rest.push_back(std::move(Each));
+    }
+  }
+  m_Waiting = std::move(Rest);
+  m_Tokens -= 1;
+  m_InProgress = true;
+  return Batch;
+}
+
+Duration WriteBatcher::untilToken() const {
+  if (m_Tokens >= 1)
+    return {};
+  return fromSeconds((1 - m_Tokens) / m_Limits.m_TransactionsPerSecond);
+}
+
+std::optional<Instant> WriteBatcher::due(Instant Now) const {
+  if (m_InProgress || m_Waiting.empty())
+    return std::nullopt;
+  Instant When = worthSending(Now)
+                     ? Now
+                     : m_Waiting.front().m_Queued + m_Limits.m_Window;
+  When = std::max(When, m_Filled + untilToken());
+  return m_Down ? std::max(When, m_NextTry) : When;
+}
+
+void WriteBatcher::onDone(bool Answered, Instant Now) {
+  m_InProgress = false;
+  m_Down = !Answered;
+  if (m_Down)
+    m_NextTry = Now + m_Limits.m_OutagePause;
+}
+
+void WriteBatcher::putBack(std::vector<PendingWrite> Writes) {
+  for (auto It = Writes.rbegin(); It != Writes.rend(); ++It) {
+    m_Urgent += It->m_Urgent ? 1 : 0;
+    m_Waiting.push_front(std::move(*It));
+  }
+}
+
+} // namespace mimosadale::decide
--- /dev/null
+++ b/packages/platform/digest.h
@@ -0,0 +1,26 @@
+// Hashes and text encodings, by OpenSSL.
+#ifndef MIMOSADALE_PLATFORM_DIGEST_H
+#define MIMOSADALE_PLATFORM_DIGEST_H
+
+#include <string>
+
+namespace mimosadale::platform {
+
+/// SHA-256 of \p Bytes in lower-case hexadecimal. Safe from any thread.
+std::string sha256Hex(const std::string &Bytes);
+
+/// Base64 of \p Bytes (RFC 4648, section 4). Safe from any thread.
+std::string encodeBase64(const std::string &Bytes);
+
+/// The bytes that \p Text encodes. \throws Error when it is no base64.
+std::string decodeBase64(const std::string &Text);
+
+/// HMAC-SHA-256 of \p Bytes under \p Key (RFC 2104). Safe from any thread.
+std::string hmacSha256(const std::string &Key, const std::string &Bytes);
+
+/// Compares in time that depends on the lengths only. Safe from any thread.
+bool equalConstantTime(const std::string &A, const std::string &B);
+
+} // namespace mimosadale::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/objects.h
@@ -0,0 +1,47 @@
+// Client of the platform's object store and host list.
+#ifndef MIMOSADALE_PLATFORM_OBJECTS_H
+#define MIMOSADALE_PLATFORM_OBJECTS_H
+
+#include "base/units.h"
+#include "net/client.h"
+#include "schema/generated/rows.pb.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+#include <vector>
+
+namespace mimosadale::platform {
+
+/// Speaks docs/protocols/platform.md. Objects are named by the SHA-256 of their
+/// content, so that they never change and a reader can check them.
+///
+/// \par Thread safety
+/// Safe from any thread.
+class ObjectClient {
+public:
+  /// \pre \p Client outlives this object.
+  ObjectClient(net::HttpClient &Client, net::Address Platform,
+               Duration Timeout);
+
+  /// Stores \p Bytes. \returns the name. \throws PlatformError.
+  boost::asio::awaitable<std::string> put(std::string Bytes);
+
+  /// Reads the object \p Name. \throws PlatformError when it is missing or its
+  /// content does not fit its name.
+  boost::asio::awaitable<std::string> get(std::string Name);
+
+  /// The platform's list of hosts, which lags behind reality.
+  /// \throws PlatformError.
+  boost::asio::awaitable<std::vector<schema::HostEntry>> hosts();
+
+private:
+  boost::asio::awaitable<net::HttpResponse> ask(net::HttpRequest Request);
+
+  net::HttpClient &m_Client;
+  net::Address m_Platform;
+  Duration m_Timeout;
+};
+
+} // namespace mimosadale::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/table.h
@@ -0,0 +1,70 @@
+// Client of the platform's transactional table.
+#ifndef MIMOSADALE_PLATFORM_TABLE_H
+#define MIMOSADALE_PLATFORM_TABLE_H
+
+#include "base/units.h"
+#include "net/client.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosadale::platform {
+
+/// A row as it stands.
+struct TableRow {
+  std::string m_Key;
+  std::uint64_t m_Version = 0; // 0: there is none
+  std::string m_Value;
+};
+
+/// A write that happens only if the row still has the version expected.
+struct TableWrite {
+  std::string m_Key;
+  std::uint64_t m_Expect = 0; // 0: there must be none
+  std::string m_Value;
+};
+
+/// How a transaction ended.
+struct TableResult {
+  enum class Kind {
+    Committed,
+    Conflict,   // nothing was written; m_Conflicts says where it failed
+    Unknown,    // the answer was lost; it may have been written
+    NotApplied  // nothing was written: not sent, or refused by the platform
+  };
+  Kind m_Kind = Kind::NotApplied;
+  std::uint64_t m_Version = 0;
+  std::vector<TableRow> m_Conflicts;
+};
+
+/// Speaks docs/protocols/platform.md.
+///
+/// \par Thread safety
+/// Safe from any thread.
+class TableClient {
+public:
+  /// \pre \p Client outlives this object.
+  TableClient(net::HttpClient &Client, net::Address Platform, Duration Timeout);
+
+  /// Writes all rows or none. Never throws for a failing platform.
+  boost::asio::awaitable<TableResult> transact(std::vector<TableWrite> Writes);
+
+  /// Reads one row; none when it does not exist. \throws PlatformError.
+  boost::asio::awaitable<std::optional<TableRow>> read(std::string Key);
+
+  /// Reads the rows whose keys begin with \p Prefix. \throws PlatformError.
+  boost::asio::awaitable<std::vector<TableRow>> scan(std::string Prefix);
+
+private:
+  boost::asio::awaitable<std::vector<TableRow>> readRows(std::string Query);
+
+  net::HttpClient &m_Client;
+  net::Address m_Platform;
+  Duration m_Timeout;
+};
+
+} // namespace mimosadale::platform
+
+#endif
--- /dev/null
+++ b/packages/router/context.cpp
@@ -0,0 +1,54 @@
+#include "router/context.h"
+
+#include <charconv>
+
+namespace mimosadale::router {
+
+namespace {
+
+Duration platformTimeout(const schema::NodeSettings &Settings) {
+  return std::chrono::milliseconds(Settings.platform().timeout_ms());
+}
+
+net::Address platformAddress(const schema::NodeSettings &Settings) {
+  return net::parseAddress(Settings.platform().address());
+}
+
+} // namespace
+
+Context::Context(boost::asio::any_io_executor Executor,
+                 schema::NodeSettings Settings, Incarnation Started)
+    : m_Executor(Executor), m_Settings(std::move(Settings)),
+      m_Incarnation(Started), m_Endpoints(DataCentreId(m_Settings.data_centre())),
+      m_Requests({m_Settings.limits().concurrent_requests(),
+                  m_Settings.limits().queued_requests()},
+                 m_Settings.limits().retry_fraction(),
+                 m_Settings.limits().boundary_log_bytes()),
+      m_Client(Executor),
+      m_Table(m_Client, platformAddress(m_Settings),
+              platformTimeout(m_Settings)),
+      m_Objects(m_Client, platformAddress(m_Settings),
+                platformTimeout(m_Settings)),
+      m_ConfigStore(m_Table, m_Objects) {}
+
+std::string Context::uniqueName() {
+  return m_Settings.name() + "-" + std::to_string(raw(m_Incarnation)) + "-" +
+         std::to_string(++m_Names);
+}
+
+Duration requestTimeout(const Context &Shared,
+                        const std::vector<net::HttpHeader> &Headers) {
+  const std::uint32_t Most = Shared.m_Settings.limits().request_timeout_ms();
+  const std::string Text = net::findHeader(Headers, "Mimosadale-Timeout-Ms");
+  if (Text.empty())
+    return std::chrono::milliseconds(Most);
+  std::uint32_t Given = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Given);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || Given < 1 ||
+      Given > Most)
+    throw Error("Mimosadale-Timeout-Ms: allowed: 1 to " + std::to_string(Most));
+  return std::chrono::milliseconds(Given);
+}
+
+} // namespace mimosadale::router
--- /dev/null
+++ b/packages/router/log.h
@@ -0,0 +1,30 @@
+// Structured logs, by log4cplus: one line an event.
+#ifndef MIMOSADALE_ROUTER_LOG_H
+#define MIMOSADALE_ROUTER_LOG_H
+
+#include "schema/generated/settings.pb.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mimosadale::router {
+
+/// One named value of an event. Prompts, answers and tokens of access are never
+/// logged.
+struct LogField {
+  std::string_view m_Name;
+  std::string m_Value;
+};
+
+/// Sets level and form; the level may be set again at any time. \pre The log
+/// library is initialised. Safe from any thread.
+void setUpLog(const schema::LogSettings &Settings, const std::string &Node);
+
+/// Writes one event. Safe from any thread.
+void logEvent(schema::LogLevel Level, std::string_view Event,
+              const std::vector<LogField> &Fields = {});
+
+} // namespace mimosadale::router
+
+#endif
--- /dev/null
+++ b/packages/router/metrics.h
@@ -0,0 +1,54 @@
+// Counters and histograms, by prometheus-cpp.
+#ifndef MIMOSADALE_ROUTER_METRICS_H
+#define MIMOSADALE_ROUTER_METRICS_H
+
+#include "base/units.h"
+#include "schema/generated/reason.pb.h"
+
+#include <memory>
+#include <string>
+
+namespace mimosadale::router {
+
+/// What a histogram measures.
+enum class Timing { FirstToken, BetweenTokens, Recovery, Decision, Claim };
+
+/// Everything that `/metrics` shows. Each refusal and retry reason has its
+/// counter from the start, at zero.
+///
+/// \par Thread safety
+/// Safe from any thread.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+
+  /// Counts a refusal. \pre None.
+  void refused(schema::Reason Why);
+
+  /// Counts a retry. \pre None.
+  void retried(schema::RetryReason Why);
+
+  /// Counts a reply that fits no call; \p Why is what did not match.
+  void dropped(const std::string &Why);
+
+  /// Counts an event of one of the fixed names in docs/OPERATORS.md.
+  void counted(const std::string &Event, double Amount = 1);
+
+  /// Sets a gauge of one of the fixed names in docs/OPERATORS.md.
+  void gauge(const std::string &Name, double Value);
+
+  /// Adds a duration. \pre None.
+  void timed(Timing What, Duration Taken);
+
+  /// All metrics in the text format of Prometheus.
+  std::string render() const;
+
+private:
+  class Families;
+  std::unique_ptr<Families> m_Families;
+};
+
+} // namespace mimosadale::router
+
+#endif
--- /dev/null
+++ b/packages/router/operator_rpc.cpp
@@ -0,0 +1,161 @@
+#include "router/operator_rpc.h"
+
+#include "platform/digest.h"
+#include "router/context.h"
+#include "schema/generated/operator_server.h"
+
+#include <jsoncpp/json/reader.h>
+#include <mutex>
+
+namespace mimosadale::router {
+
+namespace {
+
+const char *stateName(decide::EndpointHealth::State State) {
+  switch (State) {
+  case decide::EndpointHealth::State::Usable:
+    return "usable";
+  case decide::EndpointHealth::State::Suspect:
+    return "suspect";
+  default:
+    return "dead";
+  }
+}
+
+Json::Value parseJson(const std::string &Text) {
+  Json::Value Parsed;
+  Json::Reader().parse(Text, Parsed);
+  return Parsed;
+}
+
+Json::Value::Int64 milliseconds(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
+} // namespace
+
+// Requests reach the library through the operators' HTTP listener, so that
+// addresses, TLS and limits stay in one place; this connector only passes text.
+class OperatorRpc::Connector : public jsonrpc::AbstractServerConnector {
+public:
+  bool StartListening() override { return true; }
+  bool StopListening() override { return true; }
+  bool SendResponse(const std::string &Response, void *Into) override {
+    *static_cast<std::string *>(Into) = Response;
+    return true;
+  }
+};
+
+class OperatorRpc::Methods : public schema::OperatorServer {
+public:
+  Methods(jsonrpc::AbstractServerConnector &From, Context &Shared,
+          PeerReport Peers)
+      : schema::OperatorServer(From), m_Shared(Shared),
+        m_Peers(std::move(Peers)) {}
+
+  Json::Value status(bool Detail) override {
+    Json::Value Report;
+    Report["name"] = m_Shared.m_Settings.name();
+    Report["data_centre"] = m_Shared.m_Settings.data_centre();
+    Report["draining"] = m_Shared.m_Draining.load();
+    Report["requests_in_progress"] =
+        static_cast<Json::UInt64>(m_Shared.m_Requests.inProgress());
+    Report["requests_queued"] =
+        static_cast<Json::UInt64>(m_Shared.m_Requests.queued());
+    Report["claims_in_progress"] =
+        static_cast<Json::UInt64>(m_Shared.m_Requests.claims());
+    if (const auto Config = m_Shared.m_Config.get()) {
+      Report["generation"] =
+          static_cast<Json::UInt64>(Config->m_Row.generation());
+      Report["author"] = Config->m_Row.author();
+      Report["reason"] = Config->m_Row.reason();
+    }
+    Report["peers"] = parseJson(m_Peers());
+    addEndpoints(Report, Detail);
+    return Report;
+  }
+
+  Json::Value explain(const std::string &Request) override {
+    Json::Value Report(Json::objectValue);
+    const auto Record = m_Shared.m_Requests.find(RequestId(Request));
+    Report["found"] = Record.has_value();
+    if (!Record)
+      return Report;
+    Report["request"] = Request;
+    Report["workspace"] = Record->m_Workspace.str();
+    Report["asked"] = Record->m_Asked;
+    Report["outcome"] =
+        Record->m_Outcome.empty() ? "in progress" : Record->m_Outcome;
+    for (const RequestEvent &Each : Record->m_Events) {
+      Json::Value Event;
+      Event["after_ms"] = milliseconds(Each.m_After);
+      Event["what"] = Each.m_What;
+      Report["events"].append(Event);
+    }
+    return Report;
+  }
+
+  bool claimInProgress(const std::string &Attempt) override {
+    return m_Shared.m_Requests.claimInProgress(AttemptId(Attempt));
+  }
+
+  std::string section(const std::string &Hash) override {
+    const auto Config = m_Shared.m_Config.get();
+    if (!Config)
+      return "";
+    for (const std::string &Each : platform::splitSections(Config->m_Declared))
+      if (platform::sha256Hex(Each) == Hash)
+        return platform::encodeBase64(Each);
+    return "";
+  }
+
+  std::string generation() override {
+    const auto Config = m_Shared.m_Config.get();
+    return Config ? platform::encodeBase64(Config->m_Row.SerializeAsString())
+                  : "";
+  }
+
+private:
+  void addEndpoints(Json::Value &Report, bool Detail) {
+    const auto All =
+        m_Shared.m_Endpoints.with([](decide::EndpointDirectory &Directory) {
+          return Directory.status();
+        });
+    unsigned Usable = 0;
+    Json::Value List(Json::arrayValue);
+    for (const decide::EndpointStatus &Each : All) {
+      const bool Fine =
+          Each.m_State == decide::EndpointHealth::State::Usable &&
+          !Each.m_Leaving;
+      Usable += Fine ? 1 : 0;
+      if (Fine && !Detail)
+        continue;
+      Json::Value Entry;
+      Entry["name"] = Each.m_Endpoint.str();
+      Entry["state"] = stateName(Each.m_State);
+      Entry["leaving"] = Each.m_Leaving;
+      Entry["in_flight"] = Each.m_InFlight;
+      List.append(Entry);
+    }
+    Report["endpoints_usable"] = Usable;
+    Report["endpoints"] = List;
+  }
+
+  Context &m_Shared;
+  PeerReport m_Peers;
+};
+
+OperatorRpc::OperatorRpc(Context &Shared, PeerReport Peers)
+    : m_Connector(std::make_unique<Connector>()),
+      m_Methods(std::make_unique<Methods>(*m_Connector, Shared,
+                                          std::move(Peers))) {}
+
+OperatorRpc::~OperatorRpc() = default;
+
+std::string OperatorRpc::handle(const std::string &Request) {
+  std::string Response;
+  m_Connector->OnRequest(Request, &Response);
+  return Response;
+}
+
+} // namespace mimosadale::router
--- /dev/null
+++ b/packages/standin/engine.cpp
@@ -0,0 +1,322 @@
+#include "standin/engine.h"
+
+#include "schema/generated/engine.pb.h"
+#include "standin/faults.h"
+#include "standin/model.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+
+namespace mimosadale::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+// A refusal of the contract.
+class EngineRefusal : public std::runtime_error {
+public:
+  EngineRefusal(unsigned Status, std::string Code, std::uint64_t Expected = 0)
+      : std::runtime_error(Code), m_Status(Status), m_Code(std::move(Code)),
+        m_Expected(Expected) {}
+  unsigned m_Status;
+  std::string m_Code;
+  std::uint64_t m_Expected;
+};
+
+// What the engine holds for one attempt of a request.
+struct Sequence {
+  std::uint64_t m_Epoch = 0;
+  std::uint64_t m_Next = 0;            // next position
+  std::vector<std::uint64_t> m_Cache;  // by layer
+  std::string m_LastCall;              // the call done last, without its number
+  schema::StageReply m_Last;           // the reply to it
+};
+
+net::HttpResponse protobufResponse(const google::protobuf::Message &Body) {
+  return {200, {{"Content-Type", "application/x-protobuf"}},
+          Body.SerializeAsString()};
+}
+
+net::HttpResponse refusalResponse(const EngineRefusal &Why) {
+  schema::EngineError Error;
+  Error.set_code(Why.m_Code);
+  Error.set_message(Why.m_Code);
+  Error.set_expected_position(Why.m_Expected);
+  return {Why.m_Status, {{"Content-Type", "application/x-protobuf"}},
+          Error.SerializeAsString()};
+}
+
+asio::awaitable<void> sleepUntil(Clock::time_point When) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, When);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace
+
+class Engine::State {
+public:
+  explicit State(EngineSettings Settings) : m_Settings(std::move(Settings)) {}
+
+  asio::awaitable<void> handle(net::HttpExchange &Exchange) {
+    const net::HttpRequest &Request = Exchange.request();
+    if (Request.m_Target.starts_with("/standin/")) {
+      co_await Exchange.respond(control(Request));
+      co_return;
+    }
+    co_await m_Faults.delay(Exchange);
+    if (m_Faults.silent(Exchange)) {
+      co_await sleepUntil(Clock::now() + std::chrono::hours(1));
+      co_return;
+    }
+    if (Request.m_Target == "/v1/stage")
+      co_await stage(Exchange);
+    else
+      co_await Exchange.respond(other(Request));
+  }
+
+private:
+  net::HttpResponse control(const net::HttpRequest &Request) {
+    const std::lock_guard Lock(m_Mutex);
+    if (Request.m_Target == "/standin/faults")
+      m_Faults.set(Request.m_Body);
+    if (Request.m_Target == "/standin/forget")
+      m_Sequences.clear();
+    json::object Report{{"violations", json::value_from(m_Violations)},
+                        {"positions_run", m_PositionsRun},
+                        {"sequences", m_Sequences.size()},
+                        {"new_sequences", m_NewSequences},
+                        {"cancelled", m_Cancelled}};
+    return {200, {}, json::serialize(Report)};
+  }
+
+  net::HttpResponse other(const net::HttpRequest &Request) {
+    const std::lock_guard Lock(m_Mutex);
+    if (Request.m_Target == "/v1/cancel") {
+      schema::CancelRequest Cancel;
+      Cancel.ParseFromString(Request.m_Body);
+      const auto Found = m_Sequences.find(Cancel.request());
+      if (Found != m_Sequences.end() &&
+          Found->second.m_Epoch <= Cancel.epoch()) {
+        m_Sequences.erase(Found);
+        ++m_Cancelled;
+      }
+      return {200, {}, ""};
+    }
+    if (Request.m_Target == "/v1/load")
+      return protobufResponse(loadReport());
+    return {404, {}, ""};
+  }
+
+  schema::Load loadReport() {
+    schema::Load Load;
+    Load.set_running(static_cast<std::uint32_t>(m_Sequences.size()));
+    Load.set_queued(m_Waiting);
+    Load.set_tokens_per_second(m_Settings.m_TokensPerSecond);
+    Load.set_leaving(m_Faults.flag("leaving"));
+    return Load;
+  }
+
+  asio::awaitable<void> stage(net::HttpExchange &Exchange) {
+    schema::StageRequest Call;
+    std::optional<EngineRefusal> Refused;
+    std::optional<schema::StageReply> Reply;
+    Clock::time_point Ready = Clock::now();
+    try {
+      if (!Call.ParseFromString(Exchange.request().m_Body))
+        throw EngineRefusal(400, "malformed");
+      const std::lock_guard Lock(m_Mutex);
+      Reply = run(Call);
+      Ready = pace(Reply->next_position() - Reply->first_position());
+    } catch (const EngineRefusal &Why) {
+      Refused = Why;
+    }
+    if (Refused) {
+      co_await Exchange.respond(refusalResponse(*Refused));
+      co_return;
+    }
+    ++m_Waiting;
+    if (Ready > Clock::now())
+      co_await sleepUntil(Ready);
+    --m_Waiting;
+    co_await answer(Exchange, *Reply);
+  }
+
+  // Sends the reply, spoilt as told.
+  asio::awaitable<void> answer(net::HttpExchange &Exchange,
+                               schema::StageReply Reply) {
+    if (m_Faults.take("wrong_request"))
+      Reply.set_request("somebody-else");
+    if (m_Faults.take("wrong_position"))
+      Reply.set_next_position(Reply.next_position() + 1);
+    if (m_Faults.take("wrong_epoch"))
+      Reply.set_epoch(Reply.epoch() + 1);
+    if (m_Faults.take("reset")) {
+      Exchange.abort();
+      co_return;
+    }
+    net::HttpResponse Response = protobufResponse(Reply);
+    if (m_Faults.take("truncate"))
+      Response.m_Body.resize(Response.m_Body.size() / 2);
+    co_await Exchange.respond(std::move(Response));
+  }
+
+  // When a batch that has room for this many more positions is done.
+  Clock::time_point pace(std::uint64_t Positions) {
+    const auto Now = Clock::now();
+    if (m_Settings.m_TokensPerSecond <= 0)
+      return Now;
+    m_BusyUntil = std::max(m_BusyUntil, Now) +
+                  std::chrono::duration_cast<Clock::duration>(
+                      std::chrono::duration<double>(
+                          static_cast<double>(Positions) /
+                          m_Settings.m_TokensPerSecond));
+    return m_BusyUntil;
+  }
+
+  void violation(const std::string &What) {
+    m_Violations.push_back(m_Settings.m_Name + ": " + What);
+    throw EngineRefusal(422, What);
+  }
+
+  schema::StageReply run(const schema::StageRequest &Call) {
+    if (Call.first_layer() != m_Settings.m_FirstLayer ||
+        Call.end_layer() != m_Settings.m_EndLayer)
+      throw EngineRefusal(409, "wrong_layers");
+    auto Found = m_Sequences.find(Call.request());
+    if (Found != m_Sequences.end() &&
+        Found->second.m_Epoch > Call.epoch())
+      throw EngineRefusal(409, "stale_epoch");
+    const bool Fresh = Found == m_Sequences.end() ||
+                       Found->second.m_Epoch < Call.epoch() ||
+                       restarts(Found->second, Call);
+    if (Fresh) {
+      if (Call.first_position() != 0)
+        throw EngineRefusal(409, "unknown_request");
+      if (m_Faults.flag("leaving"))
+        throw EngineRefusal(503, "leaving");
+      if (m_Faults.take("busy"))
+        throw EngineRefusal(503, "busy");
+      Found = m_Sequences.insert_or_assign(Call.request(), Sequence()).first;
+      Found->second.m_Epoch = Call.epoch();
+      Found->second.m_Cache.assign(
+          m_Settings.m_EndLayer - m_Settings.m_FirstLayer, 0);
+      ++m_NewSequences;
+    }
+    Sequence &Held = Found->second;
+    if (!Fresh && repeats(Held, Call)) {
+      schema::StageReply Again = Held.m_Last;
+      Again.set_call(Call.call());
+      return Again;
+    }
+    if (Call.first_position() != Held.m_Next)
+      throw EngineRefusal(409, "wrong_position", Held.m_Next);
+    return runPositions(Call, Held);
+  }
+
+  // A call from position 0 that is not the repeat of one begins anew.
+  static bool restarts(const Sequence &Held, const schema::StageRequest &Call) {
+    return Call.first_position() == 0 && !repeats(Held, Call);
+  }
+
+  // Whether a call equals the one done last in all but its number.
+  static bool repeats(const Sequence &Held, const schema::StageRequest &Call) {
+    return Held.m_LastCall == withoutNumber(Call);
+  }
+
+  static std::string withoutNumber(schema::StageRequest Call) {
+    Call.clear_call();
+    return Call.SerializeAsString();
+  }
+
+  // The values that enter this engine's layers, checked one by one.
+  std::vector<std::uint64_t> inputs(const schema::StageRequest &Call) {
+    std::vector<std::uint64_t> Values;
+    if (Call.first_layer() == 0) {
+      if (Call.first_position() == 0)
+        for (const std::uint32_t Token : tokenize(Call.input().prompt()))
+          Values.push_back(embed(Token));
+      for (const std::uint32_t Token : Call.input().tokens())
+        Values.push_back(embed(Token));
+      return Values;
+    }
+    std::uint64_t Position = Call.first_position();
+    for (const std::string &Bytes : Call.input().activations()) {
+      const Activation Each = unpackActivation(Bytes);
+      if (Each.m_Request != hashText(Call.request()))
+        violation("mixed_request");
+      if (Each.m_LayersDone < m_Settings.m_FirstLayer)
+        violation("skipped_layer");
+      if (Each.m_LayersDone > m_Settings.m_FirstLayer)
+        violation("repeated_layer");
+      if (Each.m_Position != Position++)
+        violation("mixed_position");
+      Values.push_back(Each.m_Value);
+    }
+    return Values;
+  }
+
+  schema::StageReply runPositions(const schema::StageRequest &Call,
+                                  Sequence &Held) {
+    std::vector<std::uint64_t> Values = inputs(Call);
+    if (Values.empty())
+      throw EngineRefusal(400, "no_positions");
+    schema::StageReply Reply;
+    Reply.set_request(Call.request());
+    Reply.set_epoch(Call.epoch());
+    Reply.set_stage(Call.stage());
+    Reply.set_call(Call.call());
+    Reply.set_first_position(Call.first_position());
+    for (std::uint64_t &Value : Values) {
+      const std::uint64_t Position = Held.m_Next++;
+      for (std::uint32_t I = 0; I < Held.m_Cache.size(); ++I)
+        Value = runLayer(Value, m_Settings.m_FirstLayer + I, Position,
+                         Held.m_Cache[I]);
+      if (!Call.sample() && Position >= Call.want_from())
+        Reply.add_activations(packActivation(
+            {Value, Position, hashText(Call.request()),
+             m_Settings.m_EndLayer}));
+    }
+    m_PositionsRun += Values.size();
+    if (Call.sample()) {
+      const std::uint32_t Token = sample(Values.back(), Call.seed());
+      Reply.mutable_token()->set_id(Token);
+      Reply.mutable_token()->set_text(tokenText(Token));
+    }
+    Reply.set_next_position(Held.m_Next);
+    *Reply.mutable_load() = loadReport();
+    Held.m_LastCall = withoutNumber(Call);
+    Held.m_Last = Reply;
+    return Reply;
+  }
+
+  EngineSettings m_Settings;
+  Faults m_Faults;
+  std::mutex m_Mutex;
+  std::map<std::string, Sequence> m_Sequences;
+  std::vector<std::string> m_Violations;
+  Clock::time_point m_BusyUntil;
+  std::atomic<std::uint32_t> m_Waiting = 0;
+  std::uint64_t m_PositionsRun = 0;
+  std::uint64_t m_NewSequences = 0;
+  std::uint64_t m_Cancelled = 0;
+};
+
+Engine::Engine(EngineSettings Settings)
+    : m_State(std::make_unique<State>(std::move(Settings))) {}
+
+Engine::~Engine() = default;
+
+asio::awaitable<void> Engine::handle(net::HttpExchange &Exchange) {
+  return m_State->handle(Exchange);
+}
+
+} // namespace mimosadale::standin
--- /dev/null
+++ b/packages/standin/main.cpp
@@ -0,0 +1,85 @@
+// Test-only processes in place of the systems that mimosadale talks to.
+#include "standin/engine.h"
+#include "standin/platform.h"
+#include "standin/service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace asio = boost::asio;
+namespace options = boost::program_options;
+using namespace mimosadale;
+
+namespace {
+
+using Handler =
+    std::function<asio::awaitable<void>(net::HttpExchange &Exchange)>;
+
+// The handler of the kind of stand-in that was asked for.
+Handler makeHandler(const options::variables_map &Given) {
+  const std::string Kind = Given["kind"].as<std::string>();
+  const std::string Name = Given["name"].as<std::string>();
+  if (Kind == "engine") {
+    standin::EngineSettings Settings;
+    Settings.m_Name = Name;
+    Settings.m_FirstLayer = Given["first-layer"].as<unsigned>();
+    Settings.m_EndLayer = Given["end-layer"].as<unsigned>();
+    Settings.m_TokensPerSecond = Given["rate"].as<double>();
+    return [Made = std::make_shared<standin::Engine>(Settings)](
+               net::HttpExchange &Exchange) { return Made->handle(Exchange); };
+  }
+  if (Kind == "service")
+    return [Made = std::make_shared<standin::Service>(Name)](
+               net::HttpExchange &Exchange) { return Made->handle(Exchange); };
+  if (Kind == "platform")
+    return [Made = std::make_shared<standin::Platform>()](
+               net::HttpExchange &Exchange) { return Made->handle(Exchange); };
+  throw std::runtime_error("kind: allowed: engine, service, platform");
+}
+
+void run(const options::variables_map &Given) {
+  asio::io_context Context(1);
+  net::ServerLimits Limits;
+  Limits.m_BodyBytes = 256u << 20;
+  Limits.m_Connections = 20000;
+  Limits.m_IdleTimeout = std::chrono::hours(1);
+  net::ServerHooks Hooks;
+  Hooks.m_Handle = makeHandler(Given);
+  Hooks.m_Refuse = [](net::ServerRefusal) {
+    return net::HttpResponse{400, {}, ""};
+  };
+  net::HttpServer Server(Context.get_executor(),
+                         net::parseAddress(Given["listen"].as<std::string>()),
+                         Limits, Hooks);
+  Server.start();
+  asio::signal_set Signals(Context, SIGTERM, SIGINT);
+  Signals.async_wait([&](auto, int) { Context.stop(); });
+  Context.run();
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  options::options_description Known("options");
+  auto Add = Known.add_options();
+  Add("kind", options::value<std::string>()->required(),
+      "engine, service or platform");
+  Add("listen", options::value<std::string>()->required(), "ip:port");
+  Add("name", options::value<std::string>()->default_value("standin"), "");
+  Add("first-layer", options::value<unsigned>()->default_value(0), "");
+  Add("end-layer", options::value<unsigned>()->default_value(0), "");
+  Add("rate", options::value<double>()->default_value(0),
+      "tokens a second; 0 answers at once");
+  try {
+    options::variables_map Given;
+    options::store(options::parse_command_line(Argc, Argv, Known), Given);
+    options::notify(Given);
+    run(Given);
+    return 0;
+  } catch (const std::exception &Wrong) {
+    std::cerr << Wrong.what() << "\n" << Known;
+    return 2;
+  }
+}
--- /dev/null
+++ b/packages/standin/model.h
@@ -0,0 +1,55 @@
+// A checkable function in place of a model: what a router does wrong with
+// layers, positions or requests changes the answer, and is named.
+#ifndef MIMOSADALE_STANDIN_MODEL_H
+#define MIMOSADALE_STANDIN_MODEL_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mimosadale::standin {
+
+/// What passes from one stage to the next for one position.
+struct Activation {
+  std::uint64_t m_Value = 0;
+  std::uint64_t m_Position = 0;
+  std::uint64_t m_Request = 0; // hash of the request's name
+  std::uint32_t m_LayersDone = 0;
+};
+
+std::string packActivation(const Activation &From);
+
+/// \throws std::runtime_error when \p Bytes is no activation.
+Activation unpackActivation(const std::string &Bytes);
+
+std::uint64_t hashText(const std::string &Text);
+
+/// The token ids of a prompt: one a word.
+std::vector<std::uint32_t> tokenize(const std::string &Prompt);
+
+/// The value that enters layer 0 for a token.
+std::uint64_t embed(std::uint32_t Token);
+
+/// Runs one layer at one position. \p Cache is that layer's KV cache, so the
+/// result depends on every position before.
+std::uint64_t runLayer(std::uint64_t Value, std::uint32_t Layer,
+                       std::uint64_t Position, std::uint64_t &Cache);
+
+/// The token that the last value gives.
+std::uint32_t sample(std::uint64_t Value, std::uint64_t Seed);
+
+std::string tokenText(std::uint32_t Token);
+
+/// The whole answer, computed in one place.
+std::vector<std::uint32_t> referenceAnswer(const std::string &Prompt,
+                                           std::uint32_t Layers,
+                                           std::uint32_t Tokens,
+                                           std::uint64_t Seed);
+
+/// The text of the whole answer.
+std::string referenceText(const std::string &Prompt, std::uint32_t Layers,
+                          std::uint32_t Tokens, std::uint64_t Seed);
+
+} // namespace mimosadale::standin
+
+#endif
