--- /dev/null
+++ b/packages/ctl/session.h
@@ -0,0 +1,58 @@
+// Blocking access to the platform and to routers.
+#ifndef MIMOSADALE_CTL_SESSION_H
+#define MIMOSADALE_CTL_SESSION_H
+
+#include "ctl/commands.h"
+#include "net/client.h"
+#include "platform/config_store.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <future>
+#include <memory>
+#include <string>
+
+namespace mimosadale::ctl {
+
+/// The clients of one command.
+///
+/// \par Thread safety
+/// None; a command is one thread.
+class Session {
+public:
+  /// \pre \p Line outlives this object.
+  explicit Session(const CommandLine &Line);
+
+  /// Runs a coroutine to its end and returns its result. \pre None.
+  template <typename Result>
+  Result wait(boost::asio::awaitable<Result> Task) {
+    auto Future = boost::asio::co_spawn(m_Io, std::move(Task),
+                                        boost::asio::use_future);
+    m_Io.restart();
+    m_Io.run();
+    return Future.get();
+  }
+
+  /// \throws UsageError when the command line names no platform.
+  platform::TableClient &table();
+  platform::ConfigStore &config();
+
+  /// Sends a JSON-RPC request to a router's operators' address. \throws Error.
+  std::string callRouter(const std::string &Address, const std::string &Body);
+
+private:
+  void needPlatform();
+
+  const CommandLine &m_Line;
+  boost::asio::io_context m_Io;
+  net::HttpClient m_Client;
+  std::unique_ptr<platform::TableClient> m_Table;
+  std::unique_ptr<platform::ObjectClient> m_Objects;
+  std::unique_ptr<platform::ConfigStore> m_Config;
+};
+
+} // namespace mimosadale::ctl
+
+#endif
--- a/packages/ctl/zz_placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace {}
--- /dev/null
+++ b/packages/rpc/operator_caller.cpp
@@ -0,0 +1,77 @@
+#include "rpc/operator_caller.h"
+
+#include "schema/generated/operator_client.h"
+
+#include <jsoncpp/json/writer.h>
+
+namespace mimosadale {
+namespace rpc {
+
+namespace {
+
+// Hands the library's text to the transport.
+class Connector : public jsonrpc::IClientConnector {
+public:
+  explicit Connector(const Transport &Send) : m_Send(Send) {}
+
+  void SendRPCMessage(const std::string &Message, std::string &Result) throw(
+      jsonrpc::JsonRpcException) override {
+    try {
+      Result = m_Send(Message);
+    } catch (const std::exception &Wrong) {
+      throw jsonrpc::JsonRpcException(
+          jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, Wrong.what());
+    }
+  }
+
+private:
+  const Transport &m_Send;
+};
+
+// Makes one call and turns the library's errors into ours.
+template <typename Call>
+auto callWith(const Transport &Send, Call Make)
+    -> decltype(Make(std::declval<schema::OperatorClient &>())) {
+  try {
+    Connector Link(Send);
+    schema::OperatorClient Client(Link);
+    return Make(Client);
+  } catch (const jsonrpc::JsonRpcException &Wrong) {
+    throw RpcError(Wrong.what());
+  }
+}
+
+} // namespace
+
+std::string OperatorCaller::status(bool Detail) {
+  return callWith(m_Send, [&](schema::OperatorClient &Client) {
+    return Json::FastWriter().write(Client.status(Detail));
+  });
+}
+
+std::string OperatorCaller::explain(const std::string &Request) {
+  return callWith(m_Send, [&](schema::OperatorClient &Client) {
+    return Json::FastWriter().write(Client.explain(Request));
+  });
+}
+
+bool OperatorCaller::claimInProgress(const std::string &Attempt) {
+  return callWith(m_Send, [&](schema::OperatorClient &Client) {
+    return Client.claimInProgress(Attempt);
+  });
+}
+
+std::string OperatorCaller::section(const std::string &Hash) {
+  return callWith(m_Send, [&](schema::OperatorClient &Client) {
+    return Client.section(Hash);
+  });
+}
+
+std::string OperatorCaller::generation() {
+  return callWith(m_Send, [](schema::OperatorClient &Client) {
+    return Client.generation();
+  });
+}
+
+} // namespace rpc
+} // namespace mimosadale
--- a/packages/standin/main.cpp
+++ b/packages/standin/main.cpp
@@ -1,5 +1,6 @@
 // Test-only processes in place of the systems that mimosadale talks to.
 #include "standin/engine.h"
+#include "standin/model.h"
 #include "standin/platform.h"
 #include "standin/service.h"
 
@@ -39,6 +40,15 @@
   throw std::runtime_error("kind: allowed: engine, service, platform");
 }
 
+// Prints the answer that a whole path must give.
+void printReference(const options::variables_map &Given) {
+  std::cout << standin::referenceText(Given["prompt"].as<std::string>(),
+                                      Given["end-layer"].as<unsigned>(),
+                                      Given["tokens"].as<unsigned>(),
+                                      Given["seed"].as<std::uint64_t>())
+            << "\n";
+}
+
 void run(const options::variables_map &Given) {
   asio::io_context Context(1);
   net::ServerLimits Limits;
@@ -65,8 +75,11 @@
   options::options_description Known("options");
   auto Add = Known.add_options();
   Add("kind", options::value<std::string>()->required(),
-      "engine, service or platform");
-  Add("listen", options::value<std::string>()->required(), "ip:port");
+      "engine, service, platform, or reference: print an answer and exit");
+  Add("listen", options::value<std::string>(), "ip:port");
+  Add("prompt", options::value<std::string>()->default_value(""), "");
+  Add("tokens", options::value<unsigned>()->default_value(1), "");
+  Add("seed", options::value<std::uint64_t>()->default_value(0), "");
   Add("name", options::value<std::string>()->default_value("standin"), "");
   Add("first-layer", options::value<unsigned>()->default_value(0), "");
   Add("end-layer", options::value<unsigned>()->default_value(0), "");
@@ -76,7 +89,10 @@
     options::variables_map Given;
     options::store(options::parse_command_line(Argc, Argv, Known), Given);
     options::notify(Given);
-    run(Given);
+    if (Given["kind"].as<std::string>() == "reference")
+      printReference(Given);
+    else
+      run(Given);
     return 0;
   } catch (const std::exception &Wrong) {
     std::cerr << Wrong.what() << "\n" << Known;
--- a/packages/standin/platform.cpp
+++ b/packages/standin/platform.cpp
@@ -32,7 +32,7 @@
   const net::HttpRequest &Request = Exchange.request();
   if (Request.m_Target == "/standin/faults") {
     m_Faults.set(Request.m_Body);
-    co_await Exchange.respond({});
+    co_await Exchange.respond(net::HttpResponse());
     co_return;
   }
   if (Request.m_Target == "/standin/stats") {
--- a/packages/standin/service.cpp
+++ b/packages/standin/service.cpp
@@ -28,11 +28,11 @@
   }
   if (Request.m_Target == "/standin/faults") {
     m_Faults.set(Request.m_Body);
-    co_await Exchange.respond({});
+    co_await Exchange.respond(net::HttpResponse());
     co_return;
   }
   if (Request.m_Target == "/healthz") {
-    co_await Exchange.respond({});
+    co_await Exchange.respond(net::HttpResponse());
     co_return;
   }
   if (m_Faults.take("not_run")) {
