--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -90,29 +90,39 @@
   return Found ? Found->to_number<std::uint64_t>() : 0;
 }
 
-// Routers that are not yet seen to have the generation, with what is known.
-std::map<std::string, std::string> lagging(const CommandLine &Line,
-                                           Session &With,
-                                           std::uint64_t Generation) {
-  std::map<std::string, std::string> Late;
+// Operators' addresses of the routers given and of all that they know, by name.
+std::map<std::string, std::string> allRouters(const CommandLine &Line,
+                                              Session &With) {
+  std::map<std::string, std::string> Addresses;
   for (const std::string &Address : Line.m_Routers) {
     try {
       const json::object Status = routerStatus(With, Address, false);
-      if (generationOf(Status) < Generation)
-        Late[Address] = "has generation " +
-                        std::to_string(generationOf(Status));
-      const json::object *Peers = nullptr;
-      if (const auto *Found = Status.if_contains("peers"))
-        Peers = Found->if_object();
-      for (const auto &Peer : Peers ? *Peers : json::object()) {
+      for (const auto &Peer : Status.at("peers").as_object()) {
         const json::object &Entry = Peer.value().as_object();
-        if (Entry.at("state").as_string() == "alive" &&
-            generationOf(Entry) < Generation)
-          Late[std::string(Peer.key())] =
-              "has generation " + std::to_string(generationOf(Entry));
+        if (Entry.at("state").as_string() != "dead")
+          Addresses[std::string(Peer.key())] =
+              std::string(Entry.at("operators_address").as_string());
       }
+    } catch (const std::exception &) {
+      Addresses[Address] = Address;
+    }
+  }
+  return Addresses;
+}
+
+// Routers that are not yet seen to have the generation, with what is known.
+std::map<std::string, std::string>
+lagging(Session &With, const std::map<std::string, std::string> &Routers,
+        std::uint64_t Generation) {
+  std::map<std::string, std::string> Late;
+  for (const auto &[Name, Address] : Routers) {
+    try {
+      const std::uint64_t Has =
+          generationOf(routerStatus(With, Address, false));
+      if (Has < Generation)
+        Late[Name] = "has generation " + std::to_string(Has);
     } catch (const std::exception &Wrong) {
-      Late[Address] = std::string("cannot be reached: ") + Wrong.what();
+      Late[Name] = std::string("cannot be reached: ") + Wrong.what();
     }
   }
   return Late;
@@ -123,11 +133,12 @@
   if (Line.m_Routers.empty())
     return ExitFine;
   const auto Begun = std::chrono::steady_clock::now();
-  auto Late = lagging(Line, With, Generation);
+  const auto Routers = allRouters(Line, With);
+  auto Late = lagging(With, Routers, Generation);
   while (!Late.empty() &&
          std::chrono::steady_clock::now() - Begun < InForceBound) {
     std::this_thread::sleep_for(InForcePause);
-    Late = lagging(Line, With, Generation);
+    Late = lagging(With, Routers, Generation);
   }
   const auto Taken = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::steady_clock::now() - Begun);
@@ -135,8 +146,8 @@
     std::cout << "not in force yet on " << Router << ": " << What << "\n";
   if (!Late.empty())
     return ExitIncomplete;
-  std::cout << "in force on all routers seen after " << Taken.count()
-            << " ms\n";
+  std::cout << "in force on all " << Routers.size() << " routers seen, after "
+            << Taken.count() << " ms\n";
   return ExitFine;
 }
 
--- a/packages/decide/endpoint_directory.cpp
+++ b/packages/decide/endpoint_directory.cpp
@@ -4,7 +4,7 @@
 
 namespace mimosadale::decide {
 
-void EndpointDirectory::adopt(const schema::Declaration &Declared, Instant) {
+void EndpointDirectory::adopt(const schema::Declaration &Declared) {
   std::map<EndpointId, Entry> Kept;
   m_Services.clear();
   m_Layers.clear();
@@ -106,16 +106,25 @@
 
 // Drops the choosers when an endpoint's use changed, and keeps the news.
 void EndpointDirectory::noteChange(const EndpointId &Endpoint, Entry &Changed) {
-  const bool Usable = Changed.m_Health.usable();
-  const bool Leaving = Changed.m_Health.leaving();
-  if (Usable == Changed.m_WasUsable && Leaving == Changed.m_WasLeaving)
+  const EndpointHealth &Health = Changed.m_Health;
+  tell(Endpoint, Changed, schema::NOTE_HOST_LIST,
+       Health.leavingBy(LeaveSource::HostList));
+  tell(Endpoint, Changed, schema::NOTE_ENDPOINT,
+       Health.leavingBy(LeaveSource::Endpoint));
+  tell(Endpoint, Changed, schema::NOTE_OPERATOR,
+       Health.leavingBy(LeaveSource::Operator));
+  tell(Endpoint, Changed, schema::NOTE_SUSPECT,
+       Health.state() != EndpointHealth::State::Usable);
+  if (Health.usable() == Changed.m_WasUsable)
     return;
-  Changed.m_WasUsable = Usable;
-  Changed.m_WasLeaving = Leaving;
+  Changed.m_WasUsable = Health.usable();
   m_Choosers.erase({Changed.m_Declared.model(), Changed.m_Declared.version()});
-  const bool Suspect =
-      Changed.m_Health.state() != EndpointHealth::State::Usable;
-  m_Changes.push_back({Endpoint, Leaving, Suspect});
+}
+
+void EndpointDirectory::tell(const EndpointId &Endpoint, Entry &Changed,
+                             schema::NoteKind Kind, bool Set) {
+  if (std::exchange(Changed.m_Told[Kind], Set) != Set)
+    m_Changes.push_back({Endpoint, Kind, Set});
 }
 
 void EndpointDirectory::onSent(const EndpointId &Endpoint) {
@@ -148,22 +157,27 @@
   }
 }
 
-void EndpointDirectory::onPeerWord(const EndpointId &Endpoint, bool Suspect,
-                                   Instant Now) {
-  if (Entry *Held = find(Endpoint)) {
-    Held->m_Health.onPeerWord(Suspect, Now);
-    noteChange(Endpoint, *Held);
-  }
-}
-
-void EndpointDirectory::setLeaving(const std::string &Subject,
-                                   LeaveSource Source, bool Leaving) {
-  for (auto &[Name, Held] : m_Entries) {
-    if (Name.str() != Subject && Held.m_Declared.host() != Subject)
-      continue;
-    Held.m_Health.setLeaving(Source, Leaving);
-    noteChange(Name, Held);
+void EndpointDirectory::onNote(const schema::EndpointNote &Note, Instant Now) {
+  const EndpointId Endpoint(Note.name());
+  Entry *Held = find(Endpoint);
+  if (!Held)
+    return;
+  switch (Note.kind()) {
+  case schema::NOTE_HOST_LIST:
+    Held->m_Health.setLeaving(LeaveSource::HostList, Note.set());
+    break;
+  case schema::NOTE_ENDPOINT:
+    Held->m_Health.setLeaving(LeaveSource::Endpoint, Note.set());
+    break;
+  case schema::NOTE_OPERATOR:
+    Held->m_Health.setLeaving(LeaveSource::Operator, Note.set());
+    break;
+  default:
+    Held->m_Health.onPeerWord(Note.set(), Now);
+    break;
   }
+  Held->m_Told[Note.kind()] = Note.set();
+  noteChange(Endpoint, *Held);
 }
 
 void EndpointDirectory::replaceLeaving(
--- a/packages/decide/endpoint_directory.h
+++ b/packages/decide/endpoint_directory.h
@@ -6,7 +6,7 @@
 #include "decide/endpoint_health.h"
 #include "decide/path_chooser.h"
 #include "schema/generated/declaration.pb.h"
-#include "schema/generated/rows.pb.h"
+#include "schema/generated/peer.pb.h"
 
 #include <map>
 #include <memory>
@@ -19,8 +19,8 @@
 /// A change of one endpoint that other routers should hear of.
 struct EndpointChange {
   EndpointId m_Endpoint;
-  bool m_Leaving = false;
-  bool m_Suspect = false;
+  schema::NoteKind m_Kind = schema::NOTE_SUSPECT;
+  bool m_Set = false;
 };
 
 /// One endpoint as `status` shows it.
@@ -43,7 +43,7 @@
   explicit EndpointDirectory(DataCentreId Here) : m_Here(std::move(Here)) {}
 
   /// Takes over a declaration; what is known of endpoints that stay is kept.
-  void adopt(const schema::Declaration &Declared, Instant Now);
+  void adopt(const schema::Declaration &Declared);
 
   /// The address of an endpoint; empty when it is not declared.
   std::string address(const EndpointId &Endpoint) const;
@@ -66,13 +66,12 @@
   void onFault(const EndpointId &Endpoint, bool ConnectFailed, Instant Now);
   void onProbe(const EndpointId &Endpoint, bool Answered,
                const schema::Load *Load, Instant Now);
-  void onPeerWord(const EndpointId &Endpoint, bool Suspect, Instant Now);
 
-  /// \p Subject is an endpoint, or a host and so all endpoints on it.
-  void setLeaving(const std::string &Subject, LeaveSource Source, bool Leaving);
+  /// Takes what another router heard of an endpoint.
+  void onNote(const schema::EndpointNote &Note, Instant Now);
 
-  /// Replaces everything that \p Source says: the subjects named leave, all
-  /// others do not.
+  /// Replaces everything that \p Source says: the subjects named, endpoints or
+  /// hosts and so all endpoints on them, leave; all others do not.
   void replaceLeaving(LeaveSource Source,
                       const std::vector<std::string> &Subjects);
 
@@ -97,12 +96,14 @@
     schema::Endpoint m_Declared;
     EndpointHealth m_Health;
     bool m_WasUsable = true;
-    bool m_WasLeaving = false;
+    std::map<schema::NoteKind, bool> m_Told; // as the other routers know it
   };
 
   Entry *find(const EndpointId &Endpoint);
   const Entry *find(const EndpointId &Endpoint) const;
   void noteChange(const EndpointId &Endpoint, Entry &Changed);
+  void tell(const EndpointId &Endpoint, Entry &Changed, schema::NoteKind Kind,
+            bool Set);
   bool near(const schema::Endpoint &Declared) const;
 
   DataCentreId m_Here;
--- a/packages/decide/endpoint_health.cpp
+++ b/packages/decide/endpoint_health.cpp
@@ -90,6 +90,11 @@
                      [](const auto &Each) { return Each.second; });
 }
 
+bool EndpointHealth::leavingBy(LeaveSource Source) const {
+  const auto Found = m_Leaving.find(Source);
+  return Found != m_Leaving.end() && Found->second;
+}
+
 EngineLoad EndpointHealth::load(Instant Now) const {
   EngineLoad Load;
   Load.m_Queued = m_Load.queued();
--- a/packages/decide/endpoint_health.h
+++ b/packages/decide/endpoint_health.h
@@ -12,7 +12,7 @@
 namespace mimosadale::decide {
 
 /// Who says that an endpoint is leaving. Any one of them is enough.
-enum class LeaveSource { HostList, Endpoint, Operator, Peer };
+enum class LeaveSource { HostList, Endpoint, Operator };
 
 /// Passive health of one endpoint: replies carry load and prove life, faults
 /// make it suspect, probes settle a suspicion.
@@ -47,6 +47,10 @@
   bool usable() const { return m_State == State::Usable && !leaving(); }
 
   bool leaving() const;
+
+  /// Whether \p Source says that it leaves. \pre None.
+  bool leavingBy(LeaveSource Source) const;
+
   State state() const { return m_State; }
   unsigned inFlight() const { return m_InFlight; }
 
--- a/packages/platform/objects.cpp
+++ b/packages/platform/objects.cpp
@@ -62,6 +62,8 @@
       schema::HostEntry Entry;
       Entry.set_name(std::string(Each.as_object().at("name").as_string()));
       Entry.set_leaving(Each.as_object().at("leaving").as_bool());
+      Entry.set_incarnation(
+          Each.as_object().at("incarnation").to_number<std::uint64_t>());
       Hosts.push_back(std::move(Entry));
     }
   } catch (const boost::system::system_error &Wrong) {
--- a/packages/router/config_watch.cpp
+++ b/packages/router/config_watch.cpp
@@ -1,58 +1,139 @@
 #include "router/config_watch.h"
 
+#include "platform/digest.h"
 #include "platform/platform_error.h"
 #include "router/context.h"
 #include "router/log.h"
+#include "router/peer_link.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace mimosadale::router {
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Interval at which it is decided whether to look at the platform.
+constexpr Duration DecidePause = std::chrono::milliseconds(50);
+
+Duration pollPause(const Context &Shared) {
+  return std::chrono::milliseconds(Shared.m_Settings.platform().poll_ms());
+}
+
+} // namespace
+
+ConfigWatch::ConfigWatch(Context &Shared, PeerLink &Peers)
+    : m_Shared(Shared), m_Peers(Peers),
+      m_Strand(asio::make_strand(Shared.m_Executor)),
+      m_Adoption(pollPause(Shared)) {}
+
+void ConfigWatch::start() {
+  asio::co_spawn(m_Strand, run(), asio::detached);
+}
+
+void ConfigWatch::onNewer(schema::PeerRecord Peer) {
+  asio::co_spawn(m_Strand, fetchFrom(std::move(Peer)), asio::detached);
+}
+
 asio::awaitable<void> ConfigWatch::run() {
-  const Duration Pause =
-      std::chrono::milliseconds(m_Shared.m_Settings.platform().poll_ms());
-  asio::steady_timer Timer(co_await asio::this_coro::executor);
+  asio::steady_timer Timer(m_Strand);
   while (true) {
-    co_await look();
-    Timer.expires_after(Pause);
+    const auto Here = m_Peers.with(
+        [](const decide::Membership &Members) { return Members.aliveHere(); });
+    if (m_Adoption.takeLook(m_Shared.m_Settings.name(), Here, Context::now()))
+      co_await look();
+    Timer.expires_after(DecidePause);
     co_await Timer.async_wait(asio::use_awaitable);
   }
 }
 
-asio::awaitable<bool> ConfigWatch::look() {
+asio::awaitable<void> ConfigWatch::look() {
   try {
     co_await lookAtGeneration();
     co_await lookAtDrains();
     co_await lookAtHosts();
     m_Shared.m_Metrics.gauge("platform_up", 1);
-    co_return true;
   } catch (const platform::PlatformError &Wrong) {
     m_Shared.m_Metrics.counted("platform_failed");
     m_Shared.m_Metrics.gauge("platform_up", 0);
     logEvent(schema::DEBUG, "platform_failed", {{"detail", Wrong.what()}});
   }
-  co_return false;
 }
 
 asio::awaitable<void> ConfigWatch::lookAtGeneration() {
   const auto Stored = co_await m_Shared.m_ConfigStore.current();
-  const std::uint64_t Own = raw(m_Shared.m_Config.generation());
   const std::uint64_t Seen = Stored ? Stored->m_Row.generation() : 0;
-  if (Seen < Own) {
+  switch (m_Adoption.onSeen(static_cast<Generation>(Seen), true)) {
+  case decide::SeenGeneration::Fetch:
+    co_await take(Stored->m_Row, "");
+    break;
+  case decide::SeenGeneration::WentBack:
     m_Shared.m_Metrics.counted("generation_went_back");
     logEvent(schema::WARN, "generation_went_back",
-             {{"adopted", std::to_string(Own)},
+             {{"adopted", std::to_string(raw(m_Adoption.adopted()))},
               {"platform", std::to_string(Seen)}});
+    break;
+  case decide::SeenGeneration::Known:
+    break;
   }
-  if (Seen <= Own)
+}
+
+asio::awaitable<void> ConfigWatch::fetchFrom(schema::PeerRecord Peer) {
+  const auto Seen = static_cast<Generation>(Peer.generation());
+  const bool Wanted =
+      m_Adoption.onSeen(Seen, false) == decide::SeenGeneration::Fetch;
+  if (!Wanted || m_Fetching)
     co_return;
-  schema::Declaration Declared =
-      co_await m_Shared.m_ConfigStore.load(Stored->m_Row);
-  adopt(Stored->m_Row, std::move(Declared));
+  m_Fetching = true;
+  const std::string Address = Peer.operators_address();
+  const auto Row = co_await m_Peers.fetchGeneration(Address);
+  bool Taken = false;
+  if (Row)
+    Taken = co_await take(*Row, Address);
+  m_Shared.m_Metrics.counted(Taken ? "generation_from_peer"
+                                   : "generation_fetch_failed");
+  m_Fetching = false;
+}
+
+// Gathers the sections of a generation and adopts it, or nothing of it.
+asio::awaitable<bool> ConfigWatch::take(schema::GenerationRow Row,
+                                        std::string PeerAddress) {
+  std::vector<std::string> Sections;
+  for (const std::string &Hash : Row.sections()) {
+    auto Content = co_await section(Hash, PeerAddress);
+    if (!Content)
+      co_return false;
+    Sections.push_back(std::move(*Content));
+  }
+  const auto Seen = static_cast<Generation>(Row.generation());
+  if (m_Adoption.onSeen(Seen, false) != decide::SeenGeneration::Fetch)
+    co_return false;
+  adopt(Row, platform::joinSections(Sections));
+  co_return true;
+}
+
+// One section: the one in use if it did not change, a peer's, the platform's.
+asio::awaitable<std::optional<std::string>>
+ConfigWatch::section(std::string Hash, std::string PeerAddress) {
+  if (const auto Config = m_Shared.m_Config.get())
+    for (std::string &Each : platform::splitSections(Config->m_Declared))
+      if (platform::sha256Hex(Each) == Hash)
+        co_return std::move(Each);
+  if (!PeerAddress.empty()) {
+    std::string Content = co_await m_Peers.fetchSection(PeerAddress, Hash);
+    if (platform::sha256Hex(Content) == Hash)
+      co_return Content;
+  }
+  try {
+    co_return co_await m_Shared.m_Objects.get(Hash);
+  } catch (const platform::PlatformError &) {
+    m_Shared.m_Metrics.counted("section_missing");
+  }
+  co_return std::nullopt;
 }
 
 void ConfigWatch::adopt(const schema::GenerationRow &Row,
@@ -62,9 +143,14 @@
   Next->m_Declared = std::move(Declared);
   if (!m_Shared.m_Config.adopt(Next))
     return;
+  const auto Adopted = static_cast<Generation>(Row.generation());
+  m_Adoption.onAdopted(Adopted);
   m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
-    Directory.adopt(Next->m_Declared, Context::now());
+    Directory.adopt(Next->m_Declared);
   });
+  m_Peers.send(m_Peers.with([&](decide::Membership &Members) {
+    return Members.setGeneration(Adopted);
+  }));
   m_Shared.m_Metrics.gauge("generation",
                            static_cast<double>(Row.generation()));
   logEvent(schema::INFO, "configuration_adopted",
@@ -88,10 +174,7 @@
 
 asio::awaitable<void> ConfigWatch::lookAtHosts() {
   const auto Hosts = co_await m_Shared.m_Objects.hosts();
-  std::vector<std::string> Leaving;
-  for (const schema::HostEntry &Each : Hosts)
-    if (Each.leaving())
-      Leaving.push_back(Each.name());
+  const auto Leaving = m_HostList.onList(Hosts);
   m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
     Directory.replaceLeaving(decide::LeaveSource::HostList, Leaving);
   });
--- a/packages/router/config_watch.h
+++ b/packages/router/config_watch.h
@@ -1,42 +1,62 @@
-// Adopts declarations and operators' drains.
+// Adopts declarations, operators' drains and the platform's host list.
 #ifndef MIMOSADALE_ROUTER_CONFIG_WATCH_H
 #define MIMOSADALE_ROUTER_CONFIG_WATCH_H
 
 #include "base/units.h"
+#include "decide/adoption.h"
+#include "decide/host_list.h"
 #include "schema/generated/declaration.pb.h"
+#include "schema/generated/peer.pb.h"
 #include "schema/generated/rows.pb.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/strand.hpp>
 #include <functional>
-#include <memory>
+#include <optional>
+#include <string>
 
 namespace mimosadale::router {
 
 class Context;
+class PeerLink;
 
-/// Watches the platform for the configuration in force, for drains and for
-/// hosts that leave.
+/// Watches the platform and the other routers for the configuration in force.
+/// A declaration is taken whole or not at all; sections that did not change are
+/// not fetched again; what the platform does not give is asked of a peer.
 ///
 /// \par Thread safety
-/// `run` is started once; the rest is safe from any thread.
+/// Everything happens on its own strand.
 class ConfigWatch {
 public:
-  /// \pre \p Shared outlives this object.
-  explicit ConfigWatch(Context &Shared) : m_Shared(Shared) {}
+  /// \pre Both outlive this object.
+  ConfigWatch(Context &Shared, PeerLink &Peers);
 
-  /// Looks at the platform at every interval until the router ends.
-  boost::asio::awaitable<void> run();
+  /// Starts to look at the platform, until the router ends.
+  void start();
 
-  /// Looks once. False when the platform gave no answer.
-  boost::asio::awaitable<bool> look();
+  /// Another router has a greater generation.
+  void onNewer(schema::PeerRecord Peer);
 
 private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> look();
+  boost::asio::awaitable<void> fetchFrom(schema::PeerRecord Peer);
   boost::asio::awaitable<void> lookAtGeneration();
   boost::asio::awaitable<void> lookAtDrains();
   boost::asio::awaitable<void> lookAtHosts();
+  boost::asio::awaitable<bool> take(schema::GenerationRow Row,
+                                    std::string PeerAddress);
+  boost::asio::awaitable<std::optional<std::string>>
+  section(std::string Hash, std::string PeerAddress);
   void adopt(const schema::GenerationRow &Row, schema::Declaration Declared);
 
   Context &m_Shared;
+  PeerLink &m_Peers;
+  boost::asio::strand<boost::asio::any_io_executor> m_Strand;
+  decide::Adoption m_Adoption;
+  decide::HostList m_HostList;
+  bool m_Fetching = false;
 };
 
 } // namespace mimosadale::router
--- a/packages/router/node.cpp
+++ b/packages/router/node.cpp
@@ -1,5 +1,6 @@
 #include "router/node.h"
 
+#include "decide/rendezvous.h"
 #include "router/claim_store.h"
 #include "router/config_watch.h"
 #include "router/context.h"
@@ -7,6 +8,7 @@
 #include "router/gateway.h"
 #include "router/log.h"
 #include "router/operator_rpc.h"
+#include "router/peer_link.h"
 #include "router/settings.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,6 +19,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -39,6 +42,12 @@
 // has gone elsewhere.
 constexpr Duration BalancerTime = std::chrono::milliseconds(1500);
 
+// Interval at which news of endpoints goes to the other routers.
+constexpr Duration SharePause = std::chrono::milliseconds(20);
+
+// Routers of a data centre that probe a quiet endpoint.
+constexpr std::size_t Watchers = 2;
+
 constexpr Duration DrainCheckPause = std::chrono::milliseconds(20);
 
 Incarnation startedNow() {
@@ -70,14 +79,17 @@
   Parts(schema::NodeSettings Settings, ReloadHook Reload)
       : m_Reload(std::move(Reload)),
         m_Shared(m_Io.get_executor(), std::move(Settings), startedNow()),
-        m_Claims(m_Shared), m_Watch(m_Shared),
-        m_Rpc(m_Shared, [] { return std::string("{}"); }),
+        m_Peers(m_Shared), m_Claims(m_Shared), m_Watch(m_Shared, m_Peers),
+        m_Rpc(m_Shared, [this] { return m_Peers.report(); }),
         m_Gateway(
             m_Shared, m_Claims,
-            [this](const schema::ClaimRow &Row) { return askHolder(Row); },
+            [this](schema::ClaimRow Row) {
+              return m_Peers.askHolder(std::move(Row));
+            },
             [this](const std::string &Request) { return m_Rpc.handle(Request); },
-            [](const std::string &, const std::string &, const std::string &) {
-              return false;
+            [this](const std::string &Body, const std::string &KeyId,
+                   const std::string &Mac) {
+              return m_Peers.sealed(Body, KeyId, Mac);
             },
             readFile(m_Shared.m_Settings.access().token_file())),
         m_Callers(makeServer(m_Shared.m_Settings.callers(), true)),
@@ -88,7 +100,13 @@
     const auto &Settings = m_Shared.m_Settings;
     m_Callers->start();
     m_Operators->start();
-    start([this] { return m_Watch.run(); });
+    m_Peers.m_OnNotes = [this] { takeNotes(); };
+    m_Peers.m_OnNewer = [this](const schema::PeerRecord &Peer) {
+      m_Watch.onNewer(Peer);
+    };
+    m_Peers.start();
+    m_Watch.start();
+    start([this] { return shareLoop(); });
     start([this] { return expireLoop(); });
     start([this] { return probeLoop(); });
     start([this] { return signalLoop(); });
@@ -128,14 +146,37 @@
         net::TlsFiles{Listen.certificate_file(), Listen.key_file()});
   }
 
-  asio::awaitable<decide::HolderWord> askHolder(schema::ClaimRow Row) {
-    const bool Own = Row.holder() == m_Shared.m_Settings.name() &&
-                     Row.holder_incarnation() == raw(m_Shared.m_Incarnation);
-    if (!Own)
-      co_return decide::HolderWord::Dead;
-    co_return m_Shared.m_Requests.claimInProgress(AttemptId(Row.attempt()))
-        ? decide::HolderWord::InProgress
-        : decide::HolderWord::NotInProgress;
+  // Takes over what other routers heard of endpoints.
+  void takeNotes() {
+    const auto Notes = m_Peers.with(
+        [](decide::Membership &Members) { return Members.takeEndpointNotes(); });
+    m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
+      for (const schema::EndpointNote &Each : Notes)
+        Directory.onNote(Each, Context::now());
+    });
+  }
+
+  // Tells the other routers what was learned of endpoints, and keeps this
+  // router's share of the table's writes.
+  asio::awaitable<void> shareLoop() {
+    while (true) {
+      const auto Changes =
+          m_Shared.m_Endpoints.with([](decide::EndpointDirectory &Directory) {
+            return Directory.takeChanges();
+          });
+      for (const decide::EndpointChange &Each : Changes)
+        m_Peers.send(m_Peers.with([&](decide::Membership &Members) {
+          return Members.noteEndpoint(Each.m_Endpoint.str(), Each.m_Kind,
+                                      Each.m_Set);
+        }));
+      const std::size_t Alive = m_Peers.with(
+          [](const decide::Membership &Members) { return Members.aliveCount(); });
+      m_Claims.setRate(
+          static_cast<double>(m_Shared.m_Settings.platform().writes_per_second()) /
+          static_cast<double>(Alive));
+      m_Shared.m_Metrics.gauge("routers_alive", static_cast<double>(Alive));
+      co_await pause(SharePause);
+    }
   }
 
   asio::awaitable<void> expireLoop() {
@@ -147,10 +188,15 @@
 
   asio::awaitable<void> probeLoop() {
     while (true) {
+      const auto Here = m_Peers.with([](const decide::Membership &Members) {
+        return Members.aliveHere();
+      });
       const auto Due =
-          m_Shared.m_Endpoints.with([](decide::EndpointDirectory &Directory) {
-            return Directory.takeProbes(QuietTime, Context::now(),
-                                        [](const EndpointId &) { return true; });
+          m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
+            return Directory.takeProbes(
+                QuietTime, Context::now(), [&](const EndpointId &Each) {
+                  return watches(Here, Each.str());
+                });
           });
       for (const EndpointId &Each : Due)
         start([this, Each]() -> asio::awaitable<void> {
@@ -161,6 +207,15 @@
     }
   }
 
+  // Whether this router is one of the two that probe a quiet endpoint for all
+  // routers of its data centre.
+  bool watches(const std::vector<std::string> &Here,
+               const std::string &Endpoint) const {
+    const auto Chosen = decide::chooseMembers(Here, Endpoint, Watchers);
+    return std::find(Chosen.begin(), Chosen.end(),
+                     m_Shared.m_Settings.name()) != Chosen.end();
+  }
+
   asio::awaitable<void> signalLoop() {
     while (true) {
       const int Signal = co_await m_Signals.async_wait(asio::use_awaitable);
@@ -191,6 +246,8 @@
   asio::awaitable<void> drain() {
     logEvent(schema::INFO, "draining");
     m_Shared.m_Draining = true;
+    m_Peers.send(m_Peers.with(
+        [](decide::Membership &Members) { return Members.leave(); }));
     const Instant Begun = Context::now();
     const Instant Most =
         Begun + std::chrono::milliseconds(
@@ -215,6 +272,7 @@
   asio::io_context m_Io;
   ReloadHook m_Reload;
   Context m_Shared;
+  PeerLink m_Peers;
   ClaimStore m_Claims;
   ConfigWatch m_Watch;
   OperatorRpc m_Rpc;
