--- a/packages/ctl/claims.cpp
+++ b/packages/ctl/claims.cpp
@@ -121,8 +121,7 @@
 } // namespace
 
 int runClaims(const CommandLine &Line, Session &With) {
-  const std::string Sub =
-      Line.m_Arguments.empty() ? "" : Line.m_Arguments[0];
+  const std::string Sub = Line.m_Arguments.empty() ? "" : Line.m_Arguments[0];
   if (Sub == "list")
     return list(Line, With);
   if (Sub == "show")
--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -160,21 +160,18 @@
     return ExitBadInput;
   const InForce Now = readInForce(With);
   if (!Line.m_Arguments.empty() &&
-      Line.m_Arguments[0] !=
-          std::to_string(Now.m_Stored.m_Row.generation())) {
+      Line.m_Arguments[0] != std::to_string(Now.m_Stored.m_Row.generation())) {
     std::cerr << "generation " << Now.m_Stored.m_Row.generation()
               << " is in force, by " << Now.m_Stored.m_Row.author() << ": "
               << Now.m_Stored.m_Row.reason() << "; plan again\n";
     return ExitConflict;
   }
-  const auto Stands = With.wait(
-      With.config().apply(Loaded.m_Declaration, Now.m_Stored, Line.m_Author,
-                          Line.m_Reason));
+  const auto Stands = With.wait(With.config().apply(
+      Loaded.m_Declaration, Now.m_Stored, Line.m_Author, Line.m_Reason));
   const auto Sections = platform::splitSections(Loaded.m_Declaration);
   bool Ours = Stands.m_Row.author() == Line.m_Author &&
               Stands.m_Row.reason() == Line.m_Reason &&
-              Stands.m_Row.generation() ==
-                  Now.m_Stored.m_Row.generation() + 1;
+              Stands.m_Row.generation() == Now.m_Stored.m_Row.generation() + 1;
   for (std::size_t I = 0; Ours && I < Sections.size(); ++I)
     Ours = platform::sha256Hex(Sections[I]) ==
            Stands.m_Row.sections(static_cast<int>(I));
@@ -200,11 +197,10 @@
                   : (Found->is_string() ? std::string(Found->as_string())
                                         : json::serialize(*Found));
   };
-  std::cout << text("name") << " in " << text("data_centre")
-            << ": generation " << text("generation") << " by "
-            << text("author") << " (" << text("reason") << ")\n  "
-            << text("requests_in_progress") << " requests, "
-            << text("requests_queued") << " queued, "
+  std::cout << text("name") << " in " << text("data_centre") << ": generation "
+            << text("generation") << " by " << text("author") << " ("
+            << text("reason") << ")\n  " << text("requests_in_progress")
+            << " requests, " << text("requests_queued") << " queued, "
             << text("claims_in_progress") << " claims in progress, "
             << text("endpoints_usable") << " endpoints usable\n";
   for (const json::value &Each : Status.at("endpoints").as_array()) {
@@ -214,8 +210,8 @@
               << (Entry.at("leaving").as_bool() ? ", leaving" : "") << "\n";
   }
   const auto *Peers = Status.if_contains("peers");
-  for (const auto &Peer : Peers && Peers->is_object() ? Peers->as_object()
-                                                      : json::object()) {
+  for (const auto &Peer :
+       Peers && Peers->is_object() ? Peers->as_object() : json::object()) {
     const json::object &Entry = Peer.value().as_object();
     std::cout << "  router " << std::string(Peer.key()) << " in "
               << Entry.at("data_centre").as_string().c_str() << ": "
--- a/packages/ctl/commands.h
+++ b/packages/ctl/commands.h
@@ -12,10 +12,10 @@
 /// Exit statuses that scripts can use.
 enum ExitStatus {
   ExitFine = 0,
-  ExitFailed = 1,     // the platform or a router could not be reached
-  ExitBadInput = 2,   // options or files with faults
-  ExitConflict = 3,   // another operator came first
-  ExitIncomplete = 4  // accepted, but not seen in force everywhere yet
+  ExitFailed = 1,    // the platform or a router could not be reached
+  ExitBadInput = 2,  // options or files with faults
+  ExitConflict = 3,  // another operator came first
+  ExitIncomplete = 4 // accepted, but not seen in force everywhere yet
 };
 
 /// What the command line gave.
--- a/packages/ctl/inventory.cpp
+++ b/packages/ctl/inventory.cpp
@@ -47,8 +47,8 @@
     auto &Sink = *static_cast<CsvSink *>(Self);
     unsigned Inner = 0;
     for (const std::string &Cell : Sink.m_Current)
-      Inner += static_cast<unsigned>(
-          std::count(Cell.begin(), Cell.end(), '\n'));
+      Inner +=
+          static_cast<unsigned>(std::count(Cell.begin(), Cell.end(), '\n'));
     Sink.m_Rows.push_back({Sink.m_Line, std::move(Sink.m_Current)});
     Sink.m_Current.clear();
     Sink.m_Line += Inner + 1;
@@ -61,9 +61,8 @@
   CsvSink Sink;
   csv_parser Parser;
   csv_init(&Parser, CSV_STRICT | CSV_STRICT_FINI);
-  const std::size_t Read =
-      csv_parse(&Parser, Text.data(), Text.size(), CsvSink::onCell,
-                CsvSink::onRow, &Sink);
+  const std::size_t Read = csv_parse(&Parser, Text.data(), Text.size(),
+                                     CsvSink::onCell, CsvSink::onRow, &Sink);
   const bool Whole =
       Read == Text.size() &&
       csv_fini(&Parser, CsvSink::onCell, CsvSink::onRow, &Sink) == 0;
@@ -88,11 +87,10 @@
       continue;
     const auto Found = std::find(Header.begin(), Header.end(), Column);
     if (Found == Header.end())
-      Faults.push_back({File, 1, Field.name(),
-                        "there is no column \"" + Column + "\""});
+      Faults.push_back(
+          {File, 1, Field.name(), "there is no column \"" + Column + "\""});
     else
-      Places[Field.name()] =
-          static_cast<std::size_t>(Found - Header.begin());
+      Places[Field.name()] = static_cast<std::size_t>(Found - Header.begin());
   }
   return Places;
 }
@@ -111,8 +109,8 @@
       continue;
     const std::string Wrong = schema::setFromText(Endpoint, Field, Cell);
     if (!Wrong.empty())
-      Faults.push_back({File, From.m_Line, Field,
-                        "\"" + Cell + "\": " + Wrong});
+      Faults.push_back(
+          {File, From.m_Line, Field, "\"" + Cell + "\": " + Wrong});
   }
   try {
     net::parseAddress(Endpoint.address());
@@ -162,8 +160,7 @@
     Faults.push_back({File, 1, "", "the export has no header row"});
     return Faults;
   }
-  const auto Places =
-      columnPlaces(File, Rows.front().m_Cells, Columns, Faults);
+  const auto Places = columnPlaces(File, Rows.front().m_Cells, Columns, Faults);
   std::set<std::string> Names;
   for (std::size_t I = 1; I < Rows.size(); ++I) {
     const schema::Endpoint Endpoint =
--- a/packages/ctl/inventory.h
+++ b/packages/ctl/inventory.h
@@ -19,10 +19,10 @@
 /// Reads the endpoints from the text of a CSV export (RFC 4180, first row names
 /// the columns). Rows with faults are named by line and nothing of the export
 /// is to be applied then.
-std::vector<schema::Fault>
-importInventory(const std::string &File, const std::string &Text,
-                const schema::ColumnMap &Columns,
-                schema::Declaration &Into);
+std::vector<schema::Fault> importInventory(const std::string &File,
+                                           const std::string &Text,
+                                           const schema::ColumnMap &Columns,
+                                           schema::Declaration &Into);
 
 /// What no single field shows: names that point nowhere, layer ranges outside
 /// their model, models that no endpoints can tile.
--- a/packages/ctl/session.cpp
+++ b/packages/ctl/session.cpp
@@ -13,8 +13,7 @@
   std::ifstream In(File);
   std::string Line;
   if (!std::getline(In, Line))
-    throw UsageError("--token-file: the file \"" + File +
-                     "\" cannot be read");
+    throw UsageError("--token-file: the file \"" + File + "\" cannot be read");
   return Line;
 }
 
@@ -29,8 +28,8 @@
   if (m_Line.m_Platform.empty())
     throw UsageError("--platform is needed for " + m_Line.m_Command);
   const net::Address Where = net::parseAddress(m_Line.m_Platform);
-  m_Table = std::make_unique<platform::TableClient>(m_Client, Where,
-                                                    PlatformTimeout);
+  m_Table =
+      std::make_unique<platform::TableClient>(m_Client, Where, PlatformTimeout);
   m_Objects = std::make_unique<platform::ObjectClient>(m_Client, Where,
                                                        PlatformTimeout);
   m_Config = std::make_unique<platform::ConfigStore>(*m_Table, *m_Objects);
@@ -57,8 +56,8 @@
   Request.m_Body = Body;
   net::ExchangeOptions Options;
   Options.m_Timeout = RouterTimeout;
-  const net::HttpResponse Response = wait(
-      m_Client.exchange(net::parseAddress(Address), Request, Options));
+  const net::HttpResponse Response =
+      wait(m_Client.exchange(net::parseAddress(Address), Request, Options));
   if (Response.m_Status != 200)
     throw Error("router " + Address + " answered with status " +
                 std::to_string(Response.m_Status) + ": " + Response.m_Body);
--- a/packages/ctl/session.h
+++ b/packages/ctl/session.h
@@ -26,10 +26,9 @@
   explicit Session(const CommandLine &Line);
 
   /// Runs a coroutine to its end and returns its result. \pre None.
-  template <typename Result>
-  Result wait(boost::asio::awaitable<Result> Task) {
-    auto Future = boost::asio::co_spawn(m_Io, std::move(Task),
-                                        boost::asio::use_future);
+  template <typename Result> Result wait(boost::asio::awaitable<Result> Task) {
+    auto Future =
+        boost::asio::co_spawn(m_Io, std::move(Task), boost::asio::use_future);
     m_Io.restart();
     m_Io.run();
     return Future.get();
--- a/packages/decide/admission.h
+++ b/packages/decide/admission.h
@@ -24,8 +24,8 @@
 /// A request that asks to be admitted.
 struct AdmissionRequest {
   WorkspaceId m_Workspace;
-  double m_Weight = 1;     // share of this workspace against the others
-  double m_Cost = 1;       // tokens expected
+  double m_Weight = 1; // share of this workspace against the others
+  double m_Cost = 1;   // tokens expected
   Instant m_Deadline{};
 };
 
@@ -44,7 +44,8 @@
 };
 
 /// The share weight of a workspace: its weight, doubled with each step of
-/// priority, so that a lower priority still gets its part. Safe from any thread.
+/// priority, so that a lower priority still gets its part. Safe from any
+/// thread.
 double shareWeight(unsigned Weight, unsigned Priority);
 
 /// Start-time fair queueing between workspaces (P. Goyal, H. Vin, H. Cheng,
--- a/packages/decide/claim.cpp
+++ b/packages/decide/claim.cpp
@@ -114,8 +114,8 @@
   if (Standing.m_Version == 0)
     return insert(0, {});
   m_Step = Step::Finished;
-  const bool Free = Row.state() == schema::RELEASED ||
-                    Row.state() == schema::SETTLED_NOT_RUN;
+  const bool Free =
+      Row.state() == schema::RELEASED || Row.state() == schema::SETTLED_NOT_RUN;
   if (Free)
     return insert(Standing.m_Version, {});
   if (Row.body_sha256() != m_Start.m_BodyHash)
@@ -151,8 +151,8 @@
     Earlier.ran();
   if (std::exchange(m_Answered, true))
     return {};
-  return {RefuseClaim{
-      Refusal::of(Earlier, Why, std::move(Detail), RetryAfter)}};
+  return {
+      RefuseClaim{Refusal::of(Earlier, Why, std::move(Detail), RetryAfter)}};
 }
 
 ClaimActions Claim::onHolder(HolderWord Word) {
@@ -280,8 +280,7 @@
                            std::optional<Duration> RetryAfter) {
   if (std::exchange(m_Answered, true))
     return {};
-  return {RefuseClaim{
-      Refusal::of(m_Run, Why, std::move(Detail), RetryAfter)}};
+  return {RefuseClaim{Refusal::of(m_Run, Why, std::move(Detail), RetryAfter)}};
 }
 
 ClaimActions Claim::onDeadline() {
--- a/packages/decide/claim.h
+++ b/packages/decide/claim.h
@@ -22,8 +22,8 @@
   AttemptId m_Attempt;
   PeerId m_Holder;
   Incarnation m_HolderIncarnation{};
-  Instant m_Deadline{};    // of the caller
-  Instant m_SendBefore{};  // counted from before the first insert was sent
+  Instant m_Deadline{};   // of the caller
+  Instant m_SendBefore{}; // counted from before the first insert was sent
   bool m_TrustedNotRun = false;
 };
 
@@ -128,7 +128,14 @@
   schema::RunState runState() const { return m_Run.state(); }
 
 private:
-  enum class Step { Inserting, Asking, Sending, Recording, Releasing, Finished };
+  enum class Step {
+    Inserting,
+    Asking,
+    Sending,
+    Recording,
+    Releasing,
+    Finished
+  };
 
   schema::ClaimRow row(schema::ClaimState State) const;
   ClaimActions insert(std::uint64_t Expect, Duration Delay);
@@ -148,14 +155,14 @@
   ClaimStart m_Start;
   RunTracker m_Run;
   Step m_Step = Step::Inserting;
-  std::uint64_t m_Expect = 0;   // version that the last write expected
-  std::uint64_t m_Version = 0;  // of our row, once known
-  bool m_MayStand = false;      // an insert of ours may stand or land late
+  std::uint64_t m_Expect = 0;  // version that the last write expected
+  std::uint64_t m_Version = 0; // of our row, once known
+  bool m_MayStand = false;     // an insert of ours may stand or land late
   bool m_Answered = false;
   bool m_AskedBefore = false;
   unsigned m_Dispatches = 0;
   Duration m_Delay{};
-  schema::ClaimRow m_Outcome;   // what is to be recorded
+  schema::ClaimRow m_Outcome; // what is to be recorded
 };
 
 } // namespace mimosadale::decide
--- a/packages/decide/endpoint_directory.cpp
+++ b/packages/decide/endpoint_directory.cpp
@@ -99,8 +99,8 @@
   std::uniform_int_distribution<std::size_t> Draw(0, From.size() - 1);
   const EndpointId *First = From[Draw(Rng)];
   const EndpointId *Second = From[Draw(Rng)];
-  const bool SecondIsFreer = find(*Second)->m_Health.inFlight() <
-                             find(*First)->m_Health.inFlight();
+  const bool SecondIsFreer =
+      find(*Second)->m_Health.inFlight() < find(*First)->m_Health.inFlight();
   return SecondIsFreer ? *Second : *First;
 }
 
@@ -184,8 +184,8 @@
     LeaveSource Source, const std::vector<std::string> &Subjects) {
   const std::set<std::string> Named(Subjects.begin(), Subjects.end());
   for (auto &[Name, Held] : m_Entries) {
-    const bool Leaving = Named.contains(Name.str()) ||
-                         Named.contains(Held.m_Declared.host());
+    const bool Leaving =
+        Named.contains(Name.str()) || Named.contains(Held.m_Declared.host());
     Held.m_Health.setLeaving(Source, Leaving);
     noteChange(Name, Held);
   }
--- a/packages/decide/endpoint_health.cpp
+++ b/packages/decide/endpoint_health.cpp
@@ -109,9 +109,9 @@
                                      Duration Most) const {
   if (m_Smoothed == 0)
     return Most;
-  const double Further =
-      TokensPerSecond > 0 ? static_cast<double>(Positions) / TokensPerSecond
-                          : 0;
+  const double Further = TokensPerSecond > 0
+                             ? static_cast<double>(Positions) / TokensPerSecond
+                             : 0;
   const Duration Bound = fromSeconds(
       m_Smoothed + DeviationFactor * m_Deviation + SlackFactor * Further);
   return std::clamp(Bound, Least, Most);
--- a/packages/decide/endpoint_health.h
+++ b/packages/decide/endpoint_health.h
@@ -58,8 +58,8 @@
   EngineLoad load(Instant Now) const;
 
   /// How long a call over \p Positions positions may stay without a reply
-  /// before its connection is taken for silent: the smoothed latency of a single
-  /// position plus four deviations, as TCP sets its retransmission time
+  /// before its connection is taken for silent: the smoothed latency of a
+  /// single position plus four deviations, as TCP sets its retransmission time
   /// (RFC 6298), and the time that the further positions take at the declared
   /// rate, within the bounds given.
   Duration silentBound(std::uint64_t Positions, double TokensPerSecond,
--- a/packages/decide/membership.cpp
+++ b/packages/decide/membership.cpp
@@ -52,8 +52,7 @@
 
 Membership::Membership(schema::PeerRecord Self, MembershipSettings Settings,
                        std::vector<std::string> Seeds)
-    : m_Self(std::move(Self)), m_Settings(Settings),
-      m_Seeds(std::move(Seeds)) {
+    : m_Self(std::move(Self)), m_Settings(Settings), m_Seeds(std::move(Seeds)) {
   std::erase(m_Seeds, m_Self.address());
 }
 
@@ -81,8 +80,8 @@
   return Ring;
 }
 
-std::vector<std::string>
-Membership::contacts(const std::string &From, const std::string &To) const {
+std::vector<std::string> Membership::contacts(const std::string &From,
+                                              const std::string &To) const {
   std::vector<std::string> Living;
   std::vector<std::string> Unreachable;
   if (m_Self.data_centre() == From)
@@ -100,7 +99,8 @@
 // centres if it is a contact of its own.
 std::vector<std::string> Membership::watched() const {
   std::vector<std::string> Targets = ringAfterSelf(m_Self.data_centre());
-  Targets.resize(std::min<std::size_t>(m_Settings.m_Successors, Targets.size()));
+  Targets.resize(
+      std::min<std::size_t>(m_Settings.m_Successors, Targets.size()));
   std::set<std::string> Others;
   for (const auto &[Name, Each] : m_Members)
     if (alive(Each) && Each.m_Record.data_centre() != m_Self.data_centre())
--- a/packages/decide/membership.h
+++ b/packages/decide/membership.h
@@ -16,10 +16,10 @@
 struct MembershipSettings {
   Duration m_Period = std::chrono::milliseconds(500);
   Duration m_AckTimeout = std::chrono::milliseconds(200);
-  unsigned m_Successors = 2;       // routers that each one watches
-  unsigned m_Contacts = 2;         // routers a data centre that ping another one
-  bool m_Confirm = true;           // ask second watchers before a death counts
-  bool m_GrowTimeouts = true;      // give a wrongly suspected router more time
+  unsigned m_Successors = 2;  // routers that each one watches
+  unsigned m_Contacts = 2;    // routers a data centre that ping another one
+  bool m_Confirm = true;      // ask second watchers before a death counts
+  bool m_GrowTimeouts = true; // give a wrongly suspected router more time
   Duration m_ForgetDead = std::chrono::minutes(10);
 };
 
@@ -37,15 +37,15 @@
 /// centres a few contacts ping each other. News (a death, a leaving, a new
 /// generation, an endpoint's state) goes at once to the routers at distances 1,
 /// 2, 4, ... on the ring, so that all know after a logarithmic number of hops,
-/// and also rides on the next pings. Only routers of its own data centre declare
-/// a router dead; to others it is at most unreachable, since a cut between two
-/// data centres says nothing about the routers behind it.
+/// and also rides on the next pings. Only routers of its own data centre
+/// declare a router dead; to others it is at most unreachable, since a cut
+/// between two data centres says nothing about the routers behind it.
 ///
 /// Watching a successor by polling, and giving a wrongly suspected router a
 /// longer timeout, follow M. Larrea, S. Arévalo, A. Fernández, "Efficient
-/// Algorithms to Implement Unreliable Failure Detectors in Partially Synchronous
-/// Systems"; its way of passing the list of suspects around the ring is not
-/// taken (docs/design/membership.md has the figures).
+/// Algorithms to Implement Unreliable Failure Detectors in Partially
+/// Synchronous Systems"; its way of passing the list of suspects around the
+/// ring is not taken (docs/design/membership.md has the figures).
 ///
 /// \par Thread safety
 /// None; the router guards it with the mutex of rank Peers.
@@ -103,7 +103,7 @@
     Duration m_Timeout{};
     std::optional<Instant> m_PingedAt; // a ping without an answer
     unsigned m_Missed = 0;
-    bool m_Unreachable = false; // from here; only for other data centres
+    bool m_Unreachable = false;      // from here; only for other data centres
     std::optional<Instant> m_GoneAt; // died, or unreachable, since
     bool m_DeclaredHere = false;
     unsigned m_Differing = 0; // acks in a row with another digest
@@ -157,8 +157,8 @@
   schema::PeerRecord m_Self;
   MembershipSettings m_Settings;
   std::vector<std::string> m_Seeds;
-  std::map<std::string, Member> m_Members; // without this router
-  std::map<std::string, News> m_News;      // by subject
+  std::map<std::string, Member> m_Members;             // without this router
+  std::map<std::string, News> m_News;                  // by subject
   std::map<std::string, schema::EndpointNote> m_Notes; // by source and name
   std::vector<schema::EndpointNote> m_FreshNotes;
   std::vector<Helping> m_Helping;
--- a/packages/decide/path_chooser.cpp
+++ b/packages/decide/path_chooser.cpp
@@ -19,15 +19,14 @@
 // the time after a failure, before the flow is computed anew.
 constexpr double IdleWeight = 1e-6;
 
-using Traits = boost::adjacency_list_traits<boost::vecS, boost::vecS,
-                                            boost::directedS>;
+using Traits =
+    boost::adjacency_list_traits<boost::vecS, boost::vecS, boost::directedS>;
 using Graph = boost::adjacency_list<
     boost::vecS, boost::vecS, boost::directedS, boost::no_property,
-    boost::property<
-        boost::edge_capacity_t, long,
-        boost::property<boost::edge_residual_capacity_t, long,
-                        boost::property<boost::edge_reverse_t,
-                                        Traits::edge_descriptor>>>>;
+    boost::property<boost::edge_capacity_t, long,
+                    boost::property<boost::edge_residual_capacity_t, long,
+                                    boost::property<boost::edge_reverse_t,
+                                                    Traits::edge_descriptor>>>>;
 
 // Adds an edge and the reverse edge that the algorithm needs.
 Traits::edge_descriptor addEdge(Graph &To, std::size_t From, std::size_t Until,
@@ -78,8 +77,8 @@
     const long Capacity = std::lround(Engine.m_TokensPerSecond * FlowScale);
     Edges.emplace_back(addEdge(Net, Range.m_First, Range.m_End, Capacity));
   }
-  const long Total = boost::push_relabel_max_flow(
-      Net, boost::vertex(0, Net), boost::vertex(m_Layers, Net));
+  const long Total = boost::push_relabel_max_flow(Net, boost::vertex(0, Net),
+                                                  boost::vertex(m_Layers, Net));
   m_MaximumFlow = static_cast<double>(Total) / FlowScale;
   for (std::size_t I = 0; I < Edges.size(); ++I) {
     if (!Edges[I])
--- a/packages/decide/path_chooser.h
+++ b/packages/decide/path_chooser.h
@@ -22,9 +22,9 @@
 
 /// What path choice knows of one engine that changes all the time.
 struct EngineLoad {
-  unsigned m_Queued = 0;      // as reported
-  unsigned m_SentSince = 0;   // by this router since that report
-  Duration m_ReportAge{};     // how old the report is
+  unsigned m_Queued = 0;    // as reported
+  unsigned m_SentSince = 0; // by this router since that report
+  Duration m_ReportAge{};   // how old the report is
 };
 
 using LoadLookup = std::function<EngineLoad(const EndpointId &)>;
@@ -72,8 +72,8 @@
                                const EndpointSet &Avoid, Random &Rng) const;
   Duration predict(const EngineView &Engine, const LoadLookup &Loads) const;
 
-  std::vector<EngineView> m_Engines; // by first layer
-  std::vector<double> m_Flow;        // of m_Engines, tokens a second
+  std::vector<EngineView> m_Engines;  // by first layer
+  std::vector<double> m_Flow;         // of m_Engines, tokens a second
   std::vector<std::size_t> m_FirstAt; // index of the first engine at a layer
   std::map<LayerRange, std::vector<std::size_t>> m_ByRange;
   std::map<EndpointId, std::size_t> m_ByEndpoint;
--- a/packages/decide/pipeline.cpp
+++ b/packages/decide/pipeline.cpp
@@ -322,8 +322,8 @@
   PipelineActions Actions;
   cancelAll(Actions);
   dropLog();
-  Actions.push_back(RefuseRequest{
-      Refusal::of(m_Run, Why, std::move(Detail), RetryAfter)});
+  Actions.push_back(
+      RefuseRequest{Refusal::of(m_Run, Why, std::move(Detail), RetryAfter)});
   return Actions;
 }
 
--- a/packages/decide/pipeline.h
+++ b/packages/decide/pipeline.h
@@ -181,13 +181,13 @@
   RunTracker m_Run;
   Path m_Path;
   Epoch m_Epoch{0};
-  std::uint64_t m_Call = 0;         // number of the call in progress
-  bool m_InProgress = false;        // a reply to m_Call is awaited
-  bool m_Probing = false;           // a probe for m_Call is awaited
+  std::uint64_t m_Call = 0;  // number of the call in progress
+  bool m_InProgress = false; // a reply to m_Call is awaited
+  bool m_Probing = false;    // a probe for m_Call is awaited
   std::size_t m_Stage = 0;
-  std::uint64_t m_First = 0;        // first position of the pass
-  std::uint64_t m_End = 0;          // end of the pass; 0 until stage 0 told it
-  std::uint64_t m_SentFirst = 0;    // first position in the call in progress
+  std::uint64_t m_First = 0;     // first position of the pass
+  std::uint64_t m_End = 0;       // end of the pass; 0 until stage 0 told it
+  std::uint64_t m_SentFirst = 0; // first position in the call in progress
   std::uint64_t m_PromptTokens = 0;
   std::vector<std::string> m_Current; // inputs of the stage in progress
   std::vector<Boundary> m_Log;        // by stage; stage 0 needs none
@@ -195,8 +195,8 @@
   bool m_LogKept = true;
   std::vector<std::uint32_t> m_Tokens;
   std::uint64_t m_Hash = 0;
-  bool m_Ended = false;             // the model ended its answer
-  unsigned m_Resends = 0;           // of the call in progress
+  bool m_Ended = false;   // the model ended its answer
+  unsigned m_Resends = 0; // of the call in progress
   EndpointSet m_Lost;
   bool m_Finished = false;
 };
--- a/packages/decide/write_batcher.cpp
+++ b/packages/decide/write_batcher.cpp
@@ -42,8 +42,8 @@
 
 std::vector<PendingWrite> WriteBatcher::take(Instant Now) {
   refill(Now);
-  if (m_InProgress || m_Waiting.empty() || !worthSending(Now) ||
-      m_Tokens < 1 || (m_Down && Now < m_NextTry))
+  if (m_InProgress || m_Waiting.empty() || !worthSending(Now) || m_Tokens < 1 ||
+      (m_Down && Now < m_NextTry))
     return {};
   std::vector<PendingWrite> Batch;
   std::deque<PendingWrite> Rest;
@@ -52,8 +52,8 @@
   std::stable_partition(m_Waiting.begin(), m_Waiting.end(),
                         [](const PendingWrite &Each) { return Each.m_Urgent; });
   for (PendingWrite &Each : m_Waiting) {
-    const bool Fits = Batch.size() < m_Limits.m_BatchRows &&
-                      Keys.insert(Each.m_Key).second;
+    const bool Fits =
+        Batch.size() < m_Limits.m_BatchRows && Keys.insert(Each.m_Key).second;
     if (Fits) {
       m_Urgent -= Each.m_Urgent ? 1 : 0;
       Batch.push_back(std::move(Each));
@@ -76,9 +76,8 @@
 std::optional<Instant> WriteBatcher::due(Instant Now) const {
   if (m_InProgress || m_Waiting.empty())
     return std::nullopt;
-  Instant When = worthSending(Now)
-                     ? Now
-                     : m_Waiting.front().m_Queued + m_Limits.m_Window;
+  Instant When =
+      worthSending(Now) ? Now : m_Waiting.front().m_Queued + m_Limits.m_Window;
   When = std::max(When, m_Filled + untilToken());
   return m_Down ? std::max(When, m_NextTry) : When;
 }
--- a/packages/net/client.h
+++ b/packages/net/client.h
@@ -15,7 +15,7 @@
 struct ExchangeOptions {
   Duration m_Timeout = std::chrono::seconds(5);
   Duration m_ConnectTimeout = std::chrono::milliseconds(500);
-  bool m_Fresh = false;           // never reuse an open connection
+  bool m_Fresh = false;              // never reuse an open connection
   std::size_t m_MaxBody = 64u << 20; // bytes
 };
 
@@ -36,9 +36,8 @@
   /// write or read; the caller decides whether to repeat. Calls that may not be
   /// repeated set `m_Fresh`.
   /// \throws NetError. \pre The executor runs. Safe from any thread.
-  boost::asio::awaitable<HttpResponse> exchange(Address Server,
-                                                HttpRequest Request,
-                                                ExchangeOptions Options = {});
+  boost::asio::awaitable<HttpResponse>
+  exchange(Address Server, HttpRequest Request, ExchangeOptions Options = {});
 
   /// Closes idle connections to \p Server, after one of them went silent.
   /// \pre None. Safe from any thread.
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -85,8 +85,7 @@
     http::response_serializer<http::empty_body> Serializer(Message);
     try {
       arm();
-      co_await http::async_write_header(m_Out, Serializer,
-                                        asio::use_awaitable);
+      co_await http::async_write_header(m_Out, Serializer, asio::use_awaitable);
     } catch (const beast::system_error &Wrong) {
       fail(Wrong);
     }
@@ -149,7 +148,8 @@
     return Begun ? std::optional(ServerRefusal::SlowSender) : std::nullopt;
   if (Code == http::error::end_of_stream)
     return std::nullopt;
-  if (Code.category() == http::make_error_code(http::error::bad_method).category())
+  if (Code.category() ==
+      http::make_error_code(http::error::bad_method).category())
     return ServerRefusal::BadRequest;
   return std::nullopt;
 }
@@ -186,8 +186,8 @@
     if (m_TlsFiles.m_Certificate.empty())
       return;
     try {
-      auto Fresh = std::make_shared<asio::ssl::context>(
-          asio::ssl::context::tls_server);
+      auto Fresh =
+          std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
       Fresh->use_certificate_chain_file(m_TlsFiles.m_Certificate);
       Fresh->use_private_key_file(m_TlsFiles.m_Key, asio::ssl::context::pem);
       const std::lock_guard Lock(m_TlsMutex);
@@ -281,7 +281,8 @@
       Parser.body_limit(m_Limits.m_BodyBytes);
       const beast::error_code Code = co_await readOne(In, Buffer, Parser);
       if (Code) {
-        if (auto Refusal = refusalOf(Code, Parser.got_some() || Buffer.size() > 0))
+        if (auto Refusal =
+                refusalOf(Code, Parser.got_some() || Buffer.size() > 0))
           co_await refuse(In, *Refusal);
         co_return;
       }
--- a/packages/platform/config_store.cpp
+++ b/packages/platform/config_store.cpp
@@ -68,9 +68,10 @@
   co_return joinSections(Sections);
 }
 
-asio::awaitable<StoredGeneration>
-ConfigStore::apply(schema::Declaration Next, StoredGeneration Seen,
-                   std::string Author, std::string Reason) {
+asio::awaitable<StoredGeneration> ConfigStore::apply(schema::Declaration Next,
+                                                     StoredGeneration Seen,
+                                                     std::string Author,
+                                                     std::string Reason) {
   StoredGeneration Ours;
   Ours.m_Row.set_generation(Seen.m_Row.generation() + 1);
   for (const std::string &Each : splitSections(Next))
--- a/packages/platform/config_store.h
+++ b/packages/platform/config_store.h
@@ -47,16 +47,16 @@
   boost::asio::awaitable<std::optional<StoredGeneration>> current();
 
   /// The declaration that \p Row names. \throws PlatformError.
-  boost::asio::awaitable<schema::Declaration>
-  load(schema::GenerationRow Row);
+  boost::asio::awaitable<schema::Declaration> load(schema::GenerationRow Row);
 
   /// Writes \p Next as the generation after \p Seen, if \p Seen still is in
   /// force. A lost answer is settled by reading the row back.
   /// \returns the generation now in force: of \p Next, or of the operator who
   /// came first. \throws PlatformError when the outcome stays unknown.
-  boost::asio::awaitable<StoredGeneration>
-  apply(schema::Declaration Next, StoredGeneration Seen, std::string Author,
-        std::string Reason);
+  boost::asio::awaitable<StoredGeneration> apply(schema::Declaration Next,
+                                                 StoredGeneration Seen,
+                                                 std::string Author,
+                                                 std::string Reason);
 
 private:
   boost::asio::awaitable<StoredGeneration> settle(schema::GenerationRow Ours);
--- a/packages/platform/objects.cpp
+++ b/packages/platform/objects.cpp
@@ -14,8 +14,7 @@
                            Duration Timeout)
     : m_Client(Client), m_Platform(std::move(Platform)), m_Timeout(Timeout) {}
 
-asio::awaitable<net::HttpResponse>
-ObjectClient::ask(net::HttpRequest Request) {
+asio::awaitable<net::HttpResponse> ObjectClient::ask(net::HttpRequest Request) {
   net::ExchangeOptions Options;
   Options.m_Timeout = m_Timeout;
   const std::string Target = Request.m_Target;
--- a/packages/platform/table.h
+++ b/packages/platform/table.h
@@ -30,9 +30,9 @@
 struct TableResult {
   enum class Kind {
     Committed,
-    Conflict,   // nothing was written; m_Conflicts says where it failed
-    Unknown,    // the answer was lost; it may have been written
-    NotApplied  // nothing was written: not sent, or refused by the platform
+    Conflict,  // nothing was written; m_Conflicts says where it failed
+    Unknown,   // the answer was lost; it may have been written
+    NotApplied // nothing was written: not sent, or refused by the platform
   };
   Kind m_Kind = Kind::NotApplied;
   std::uint64_t m_Version = 0;
--- a/packages/router/claim_run.cpp
+++ b/packages/router/claim_run.cpp
@@ -99,8 +99,10 @@
   if (Context::now() >= m_SendBefore || m_Claim.answered())
     co_return Result;
   ServiceClient Services(m_Shared);
-  const ServiceTry Try = co_await Services.send(m_Service, m_Request,
-                                                m_ServiceTimeout, m_Unreachable);
+  const ServiceTry Try = co_await Services.send(
+      m_Service, m_Request, m_ServiceTimeout, m_Unreachable);
+  m_Shared.m_Requests.note(RequestId(m_Attempt.str()),
+                           "sent to " + Try.m_Endpoint.str(), Context::now());
   if (Try.m_Dispatch.m_Kind == decide::ClaimDispatch::Kind::NeverSent) {
     m_Unreachable.insert(Try.m_Endpoint);
     m_Shared.m_Metrics.retried(schema::SERVICE_NOT_SENT);
--- a/packages/router/claim_store.cpp
+++ b/packages/router/claim_store.cpp
@@ -64,11 +64,10 @@
   });
 }
 
-asio::awaitable<decide::ClaimWrite>
-ClaimStore::write(decide::WriteClaim Write, bool Urgent) {
+asio::awaitable<decide::ClaimWrite> ClaimStore::write(decide::WriteClaim Write,
+                                                      bool Urgent) {
   if (Write.m_Delay > Duration(0)) {
-    asio::steady_timer Pause(co_await asio::this_coro::executor,
-                             Write.m_Delay);
+    asio::steady_timer Pause(co_await asio::this_coro::executor, Write.m_Delay);
     co_await Pause.async_wait(asio::use_awaitable);
   }
   if (!co_await storeLargeAnswer(Write.m_Row))
--- a/packages/router/completion_call.cpp
+++ b/packages/router/completion_call.cpp
@@ -84,7 +84,8 @@
     co_return;
   }
   if (!Model) {
-    const std::string Detail = "model \"" + m_Asked.m_Model + "\" is not declared";
+    const std::string Detail =
+        "model \"" + m_Asked.m_Model + "\" is not declared";
     co_await refuse(refuseUntouched(schema::NOT_FOUND, Detail));
     co_return;
   }
@@ -193,7 +194,8 @@
   };
   decide::PipelineHooks Hooks;
   Hooks.m_ChoosePath =
-      [=, this](const decide::EndpointSet &Avoid) -> std::optional<decide::Path> {
+      [=,
+       this](const decide::EndpointSet &Avoid) -> std::optional<decide::Path> {
     const Instant Begun = Context::now();
     const auto Chooser = chooser();
     if (!Chooser)
@@ -203,8 +205,8 @@
     note(Chosen ? "path " + pathText(*Chosen) : "no path");
     return Chosen;
   };
-  Hooks.m_ChooseReplacement =
-      [=, this](decide::LayerRange Layers, const decide::EndpointSet &Avoid)
+  Hooks.m_ChooseReplacement = [=, this](decide::LayerRange Layers,
+                                        const decide::EndpointSet &Avoid)
       -> std::optional<decide::StagePlan> {
     const auto Chooser = chooser();
     if (!Chooser)
@@ -229,8 +231,7 @@
 // the results of a call lead to the next actions.
 asio::awaitable<void> CompletionCall::run() {
   m_Shared.m_Requests.onFirstTry();
-  m_Pipeline =
-      std::make_unique<decide::Pipeline>(startOf(m_Asked), hooks());
+  m_Pipeline = std::make_unique<decide::Pipeline>(startOf(m_Asked), hooks());
   m_Next = m_Pipeline->start(Context::now());
   while (!m_Next.empty()) {
     decide::PipelineActions Actions = std::exchange(m_Next, {});
@@ -286,7 +287,8 @@
 void CompletionCall::cancelLater(decide::CancelStage Cancel) {
   asio::co_spawn(
       m_Shared.m_Executor,
-      [&Shared = m_Shared, Cancel = std::move(Cancel)]() -> asio::awaitable<void> {
+      [&Shared = m_Shared,
+       Cancel = std::move(Cancel)]() -> asio::awaitable<void> {
         EngineClient Engines(Shared);
         co_await Engines.cancel(Cancel);
       },
@@ -299,9 +301,9 @@
   if (FinishReason)
     Choice["finish_reason"] = FinishReason;
   if (m_Asked.m_Chat)
-    Choice["delta"] = FinishReason
-                          ? json::object{}
-                          : json::object{{"role", "assistant"}, {"content", Text}};
+    Choice["delta"] =
+        FinishReason ? json::object{}
+                     : json::object{{"role", "assistant"}, {"content", Text}};
   else
     Choice["text"] = Text;
   return json::serialize(json::object{
@@ -312,8 +314,7 @@
       {"choices", json::array{Choice}}});
 }
 
-std::string
-CompletionCall::usage(const decide::CompleteRequest &Done) const {
+std::string CompletionCall::usage(const decide::CompleteRequest &Done) const {
   return json::serialize(json::object{
       {"id", m_Request.str()},
       {"object", m_Asked.m_Chat ? "chat.completion.chunk" : "text_completion"},
@@ -328,8 +329,8 @@
 
 std::string
 CompletionCall::wholeBody(const decide::CompleteRequest &Done) const {
-  json::object Choice{{"index", 0},
-                      {"finish_reason", Done.m_EndedByModel ? "stop" : "length"}};
+  json::object Choice{
+      {"index", 0}, {"finish_reason", Done.m_EndedByModel ? "stop" : "length"}};
   if (m_Asked.m_Chat)
     Choice["message"] =
         json::object{{"role", "assistant"}, {"content", m_Answer}};
--- a/packages/router/config_watch.cpp
+++ b/packages/router/config_watch.cpp
@@ -31,9 +31,7 @@
       m_Strand(asio::make_strand(Shared.m_Executor)),
       m_Adoption(pollPause(Shared)) {}
 
-void ConfigWatch::start() {
-  asio::co_spawn(m_Strand, run(), asio::detached);
-}
+void ConfigWatch::start() { asio::co_spawn(m_Strand, run(), asio::detached); }
 
 void ConfigWatch::onNewer(schema::PeerRecord Peer) {
   asio::co_spawn(m_Strand, fetchFrom(std::move(Peer)), asio::detached);
@@ -151,8 +149,7 @@
   m_Peers.send(m_Peers.with([&](decide::Membership &Members) {
     return Members.setGeneration(Adopted);
   }));
-  m_Shared.m_Metrics.gauge("generation",
-                           static_cast<double>(Row.generation()));
+  m_Shared.m_Metrics.gauge("generation", static_cast<double>(Row.generation()));
   logEvent(schema::INFO, "configuration_adopted",
            {{"generation", std::to_string(Row.generation())},
             {"author", Row.author()},
--- a/packages/router/context.cpp
+++ b/packages/router/context.cpp
@@ -19,14 +19,14 @@
 Context::Context(boost::asio::any_io_executor Executor,
                  schema::NodeSettings Settings, Incarnation Started)
     : m_Executor(Executor), m_Settings(std::move(Settings)),
-      m_Incarnation(Started), m_Endpoints(DataCentreId(m_Settings.data_centre())),
+      m_Incarnation(Started),
+      m_Endpoints(DataCentreId(m_Settings.data_centre())),
       m_Requests({m_Settings.limits().concurrent_requests(),
                   m_Settings.limits().queued_requests()},
                  m_Settings.limits().retry_fraction(),
                  m_Settings.limits().boundary_log_bytes()),
-      m_Client(Executor),
-      m_Table(m_Client, platformAddress(m_Settings),
-              platformTimeout(m_Settings)),
+      m_Client(Executor), m_Table(m_Client, platformAddress(m_Settings),
+                                  platformTimeout(m_Settings)),
       m_Objects(m_Client, platformAddress(m_Settings),
                 platformTimeout(m_Settings)),
       m_ConfigStore(m_Table, m_Objects) {}
--- a/packages/router/engine_client.cpp
+++ b/packages/router/engine_client.cpp
@@ -69,8 +69,8 @@
   m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
     Directory.onSent(Send.m_Endpoint);
     Where = Directory.address(Send.m_Endpoint);
-    Silence = Directory.silentBound(Send.m_Endpoint, Positions, LeastSilence,
-                                    Most);
+    Silence =
+        Directory.silentBound(Send.m_Endpoint, Positions, LeastSilence, Most);
   });
   if (Where.empty())
     co_return decide::StageFault::ConnectFailed;
--- a/packages/router/gateway.cpp
+++ b/packages/router/gateway.cpp
@@ -73,9 +73,9 @@
                    "header: allowed: up to " +
                        std::to_string(Limits.header_bytes()) + " bytes");
   case net::ServerRefusal::BodyTooLarge:
-    return refused(schema::TOO_LARGE,
-                   "body: allowed: up to " +
-                       std::to_string(Limits.body_bytes()) + " bytes");
+    return refused(schema::TOO_LARGE, "body: allowed: up to " +
+                                          std::to_string(Limits.body_bytes()) +
+                                          " bytes");
   case net::ServerRefusal::SlowSender:
     return refused(schema::SLOW_SENDER,
                    "the request took longer than " +
--- a/packages/router/gateway.h
+++ b/packages/router/gateway.h
@@ -15,13 +15,13 @@
 class ClaimStore;
 class Context;
 
-/// Answers a JSON-RPC request. May block; it is called off the workers' strands.
+/// Answers a JSON-RPC request. May block; it is called off the workers'
+/// strands.
 using RpcHook = std::function<std::string(const std::string &Request)>;
 
 /// Whether a JSON-RPC body carries the seal of another router.
-using SealCheck = std::function<bool(const std::string &Body,
-                                     const std::string &KeyId,
-                                     const std::string &Mac)>;
+using SealCheck = std::function<bool(
+    const std::string &Body, const std::string &KeyId, const std::string &Mac)>;
 
 /// Authenticates requests and hands them to whoever serves them.
 ///
--- a/packages/router/node.cpp
+++ b/packages/router/node.cpp
@@ -11,6 +11,7 @@
 #include "router/peer_link.h"
 #include "router/settings.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,7 +20,6 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -86,7 +86,9 @@
             [this](schema::ClaimRow Row) {
               return m_Peers.askHolder(std::move(Row));
             },
-            [this](const std::string &Request) { return m_Rpc.handle(Request); },
+            [this](const std::string &Request) {
+              return m_Rpc.handle(Request);
+            },
             [this](const std::string &Body, const std::string &KeyId,
                    const std::string &Mac) {
               return m_Peers.sealed(Body, KeyId, Mac);
@@ -148,8 +150,9 @@
 
   // Takes over what other routers heard of endpoints.
   void takeNotes() {
-    const auto Notes = m_Peers.with(
-        [](decide::Membership &Members) { return Members.takeEndpointNotes(); });
+    const auto Notes = m_Peers.with([](decide::Membership &Members) {
+      return Members.takeEndpointNotes();
+    });
     m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
       for (const schema::EndpointNote &Each : Notes)
         Directory.onNote(Each, Context::now());
@@ -169,11 +172,13 @@
           return Members.noteEndpoint(Each.m_Endpoint.str(), Each.m_Kind,
                                       Each.m_Set);
         }));
-      const std::size_t Alive = m_Peers.with(
-          [](const decide::Membership &Members) { return Members.aliveCount(); });
-      m_Claims.setRate(
-          static_cast<double>(m_Shared.m_Settings.platform().writes_per_second()) /
-          static_cast<double>(Alive));
+      const std::size_t Alive =
+          m_Peers.with([](const decide::Membership &Members) {
+            return Members.aliveCount();
+          });
+      m_Claims.setRate(static_cast<double>(
+                           m_Shared.m_Settings.platform().writes_per_second()) /
+                       static_cast<double>(Alive));
       m_Shared.m_Metrics.gauge("routers_alive", static_cast<double>(Alive));
       co_await pause(SharePause);
     }
@@ -193,10 +198,10 @@
       });
       const auto Due =
           m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
-            return Directory.takeProbes(
-                QuietTime, Context::now(), [&](const EndpointId &Each) {
-                  return watches(Here, Each.str());
-                });
+            return Directory.takeProbes(QuietTime, Context::now(),
+                                        [&](const EndpointId &Each) {
+                                          return watches(Here, Each.str());
+                                        });
           });
       for (const EndpointId &Each : Due)
         start([this, Each]() -> asio::awaitable<void> {
@@ -283,7 +288,8 @@
 };
 
 Node::Node(schema::NodeSettings Settings, ReloadHook Reload)
-    : m_Parts(std::make_unique<Parts>(std::move(Settings), std::move(Reload))) {}
+    : m_Parts(std::make_unique<Parts>(std::move(Settings), std::move(Reload))) {
+}
 
 Node::~Node() = default;
 
--- a/packages/router/operator_rpc.cpp
+++ b/packages/router/operator_rpc.cpp
@@ -124,9 +124,8 @@
     unsigned Usable = 0;
     Json::Value List(Json::arrayValue);
     for (const decide::EndpointStatus &Each : All) {
-      const bool Fine =
-          Each.m_State == decide::EndpointHealth::State::Usable &&
-          !Each.m_Leaving;
+      const bool Fine = Each.m_State == decide::EndpointHealth::State::Usable &&
+                        !Each.m_Leaving;
       Usable += Fine ? 1 : 0;
       if (Fine && !Detail)
         continue;
@@ -147,8 +146,8 @@
 
 OperatorRpc::OperatorRpc(Context &Shared, PeerReport Peers)
     : m_Connector(std::make_unique<Connector>()),
-      m_Methods(std::make_unique<Methods>(*m_Connector, Shared,
-                                          std::move(Peers))) {}
+      m_Methods(
+          std::make_unique<Methods>(*m_Connector, Shared, std::move(Peers))) {}
 
 OperatorRpc::~OperatorRpc() = default;
 
--- a/packages/router/peer_link.cpp
+++ b/packages/router/peer_link.cpp
@@ -115,10 +115,10 @@
   std::uint32_t Id = 0;
   std::from_chars(KeyId.data(), KeyId.data() + KeyId.size(), Id);
   const schema::PeerKey *Key = key(Id);
-  return Key && platform::equalConstantTime(
-                    platform::encodeBase64(
-                        platform::hmacSha256(Key->secret(), Body)),
-                    Mac);
+  return Key &&
+         platform::equalConstantTime(
+             platform::encodeBase64(platform::hmacSha256(Key->secret(), Body)),
+             Mac);
 }
 
 void PeerLink::send(decide::OutgoingMessages Messages) {
@@ -130,8 +130,7 @@
       schema::SealedMessage Sealed;
       Sealed.set_key(Keys.Get(0).id());
       Sealed.set_body(Each.m_Message.SerializeAsString());
-      Sealed.set_mac(
-          platform::hmacSha256(Keys.Get(0).secret(), Sealed.body()));
+      Sealed.set_mac(platform::hmacSha256(Keys.Get(0).secret(), Sealed.body()));
       const std::string Bytes = Sealed.SerializeAsString();
       boost::system::error_code Lost;
       m_Socket.send_to(asio::buffer(Bytes),
@@ -213,8 +212,8 @@
   Request.m_Headers = {
       {"Content-Type", "application/json"},
       {"Mimosadale-Key", std::to_string(Key.id())},
-      {"Mimosadale-Mac", platform::encodeBase64(platform::hmacSha256(
-                             Key.secret(), Body))}};
+      {"Mimosadale-Mac",
+       platform::encodeBase64(platform::hmacSha256(Key.secret(), Body))}};
   Request.m_Body = Body;
   net::ExchangeOptions Options;
   Options.m_Timeout = AskTimeout;
@@ -232,8 +231,7 @@
 
 // Runs a blocking call of the JSON-RPC client on a thread of its own pool.
 template <typename Result>
-asio::awaitable<Result>
-PeerLink::offWorkers(std::function<Result()> Blocking) {
+asio::awaitable<Result> PeerLink::offWorkers(std::function<Result()> Blocking) {
   auto Task = [](std::function<Result()> Call) -> asio::awaitable<Result> {
     co_return Call();
   };
@@ -241,8 +239,7 @@
                                     asio::use_awaitable);
 }
 
-asio::awaitable<decide::HolderWord>
-PeerLink::askHolder(schema::ClaimRow Row) {
+asio::awaitable<decide::HolderWord> PeerLink::askHolder(schema::ClaimRow Row) {
   const AttemptId Attempt(Row.attempt());
   const auto Record = with([&](decide::Membership &Members) {
     return Members.find(PeerId(Row.holder()));
--- a/packages/router/peer_link.h
+++ b/packages/router/peer_link.h
@@ -86,8 +86,7 @@
   const schema::PeerKey *key(std::uint32_t Id) const;
   std::string callPeer(const std::string &Address, const std::string &Body);
   template <typename Result>
-  boost::asio::awaitable<Result>
-  offWorkers(std::function<Result()> Blocking);
+  boost::asio::awaitable<Result> offWorkers(std::function<Result()> Blocking);
 
   Context &m_Shared;
   RankedMutex m_Mutex{Rank::Peers};
--- a/packages/router/replies.cpp
+++ b/packages/router/replies.cpp
@@ -89,12 +89,12 @@
   Response.m_Status = statusOf(Why.reason());
   Response.m_Headers = {{"Content-Type", "application/json"},
                         {"Mimosadale-Reason", reasonName(Why.reason())},
-                        {"Mimosadale-Run-State",
-                         runStateName(Why.runState())}};
+                        {"Mimosadale-Run-State", runStateName(Why.runState())}};
   if (const auto Wait = Why.retryAfter())
     Response.m_Headers.push_back(
         {"Retry-After",
-         std::to_string(std::chrono::ceil<std::chrono::seconds>(*Wait).count())});
+         std::to_string(
+             std::chrono::ceil<std::chrono::seconds>(*Wait).count())});
   if (Why.reason() == schema::UNAUTHENTICATED)
     Response.m_Headers.push_back({"WWW-Authenticate", "Bearer"});
   Response.m_Body = refusalBody(Why);
--- a/packages/router/request_table.h
+++ b/packages/router/request_table.h
@@ -31,7 +31,7 @@
 struct RequestRecord {
   RequestId m_Request;
   WorkspaceId m_Workspace;
-  std::string m_Asked; // model or service
+  std::string m_Asked;   // model or service
   std::string m_Outcome; // empty while in progress
   std::vector<RequestEvent> m_Events;
   Instant m_Arrived{};
--- a/packages/router/service_call.cpp
+++ b/packages/router/service_call.cpp
@@ -29,9 +29,11 @@
   return Method == "GET" || Method == "HEAD" || Method == "OPTIONS";
 }
 
-net::HttpResponse toResponse(const decide::ClaimDispatch &From) {
+net::HttpResponse toResponse(const RequestId &Request,
+                             const decide::ClaimDispatch &From) {
   net::HttpResponse To;
   To.m_Status = From.m_Status;
+  To.m_Headers.push_back({"Mimosadale-Request", Request.str()});
   if (!From.m_Type.empty())
     To.m_Headers.push_back({"Content-Type", From.m_Type});
   To.m_Body = From.m_Body;
@@ -108,10 +110,10 @@
 // Calls that the service or the method allows to repeat. A deduplicated call
 // without a key cannot be told apart by the endpoint, so it is tried once.
 asio::awaitable<void> ServiceCall::repeatable(const schema::Service &Service) {
-  const bool MayRepeat = Service.calls() != schema::DEDUPLICATED ||
-                         isSafe(m_Exchange.request().m_Method) ||
-                         !net::findHeader(m_Forwarded.m_Headers,
-                                          "Idempotency-Key").empty();
+  const bool MayRepeat =
+      Service.calls() != schema::DEDUPLICATED ||
+      isSafe(m_Exchange.request().m_Method) ||
+      !net::findHeader(m_Forwarded.m_Headers, "Idempotency-Key").empty();
   decide::RunTracker Run;
   decide::EndpointSet Avoid;
   ServiceClient Services(m_Shared);
@@ -126,7 +128,7 @@
     using Kind = decide::ClaimDispatch::Kind;
     if (Tried.m_Dispatch.m_Kind == Kind::Answered) {
       m_Shared.m_Requests.close(m_Request, "complete", Context::now());
-      net::HttpResponse Response = toResponse(Tried.m_Dispatch);
+      net::HttpResponse Response = toResponse(m_Request, Tried.m_Dispatch);
       co_await m_Exchange.respond(std::move(Response));
       co_return;
     }
@@ -154,18 +156,18 @@
   Start.m_Workspace = WorkspaceId(m_From.m_Workspace.name());
   Start.m_Service = ServiceId(Service.name());
   Start.m_Key = std::move(Key);
-  Start.m_BodyHash = platform::sha256Hex(m_Forwarded.m_Method + "\n" +
-                                         m_Forwarded.m_Target + "\n" +
-                                         m_Forwarded.m_Body);
+  Start.m_BodyHash =
+      platform::sha256Hex(m_Forwarded.m_Method + "\n" + m_Forwarded.m_Target +
+                          "\n" + m_Forwarded.m_Body);
   Start.m_Attempt = AttemptId(m_Request.str());
   Start.m_Holder = PeerId(m_Shared.m_Settings.name());
   Start.m_HolderIncarnation = m_Shared.m_Incarnation;
   Start.m_Deadline = m_Deadline;
   Start.m_SendBefore = std::min(m_Deadline, m_Arrived + SendWindow);
   Start.m_TrustedNotRun = Service.trusted_not_run();
-  const auto Run = std::make_shared<ClaimRun>(
-      m_Shared, m_Claims, m_AskHolder, std::move(Start), m_Forwarded,
-      serviceTimeout(Service));
+  const auto Run = std::make_shared<ClaimRun>(m_Shared, m_Claims, m_AskHolder,
+                                              std::move(Start), m_Forwarded,
+                                              serviceTimeout(Service));
   const ClaimAnswer Answer = co_await Run->answer();
   m_Shared.m_Metrics.timed(Timing::Claim, Context::now() - m_Arrived);
   if (const auto *Refused = std::get_if<decide::RefuseClaim>(&Answer))
@@ -177,6 +179,7 @@
 asio::awaitable<void> ServiceCall::answer(const decide::AnswerClaim &Answer) {
   net::HttpResponse Response;
   Response.m_Status = Answer.m_Status;
+  Response.m_Headers.push_back({"Mimosadale-Request", m_Request.str()});
   Response.m_Body = Answer.m_Body;
   std::string Fault;
   if (!Answer.m_Object.empty()) {
--- a/packages/router/service_call.h
+++ b/packages/router/service_call.h
@@ -2,8 +2,8 @@
 #ifndef MIMOSADALE_ROUTER_SERVICE_CALL_H
 #define MIMOSADALE_ROUTER_SERVICE_CALL_H
 
-#include "net/server.h"
 #include "decide/claim.h"
+#include "net/server.h"
 #include "router/completion_call.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/packages/router/service_client.cpp
+++ b/packages/router/service_client.cpp
@@ -19,8 +19,8 @@
 
 decide::ClaimDispatch dispatchOf(net::HttpResponse Response) {
   decide::ClaimDispatch Dispatch;
-  const bool NotRun = net::findHeader(Response.m_Headers,
-                                      "Mimosadale-Run-State") == "not_run";
+  const bool NotRun =
+      net::findHeader(Response.m_Headers, "Mimosadale-Run-State") == "not_run";
   Dispatch.m_Kind = NotRun ? decide::ClaimDispatch::Kind::SaidNotRun
                            : decide::ClaimDispatch::Kind::Answered;
   Dispatch.m_Status = Response.m_Status;
@@ -39,8 +39,7 @@
   Try.m_Dispatch.m_Kind = decide::ClaimDispatch::Kind::NeverSent;
   std::string Where;
   m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
-    const auto Chosen =
-        Directory.chooseService(Service, Avoid, threadRandom());
+    const auto Chosen = Directory.chooseService(Service, Avoid, threadRandom());
     if (!Chosen)
       return;
     Try.m_Endpoint = *Chosen;
--- a/packages/router/settings.cpp
+++ b/packages/router/settings.cpp
@@ -64,8 +64,7 @@
 
 LoadedSettings loadSettings(const std::string &File) {
   LoadedSettings Loaded;
-  Loaded.m_Faults =
-      schema::parseToml(File, readFile(File), Loaded.m_Settings);
+  Loaded.m_Faults = schema::parseToml(File, readFile(File), Loaded.m_Settings);
   const schema::NodeSettings &Given = Loaded.m_Settings;
   CrossChecks Check(File, Loaded.m_Faults);
   Check.listen("callers", Given.callers());
--- a/packages/rpc/operator_caller.cpp
+++ b/packages/rpc/operator_caller.cpp
@@ -19,8 +19,8 @@
     try {
       Result = m_Send(Message);
     } catch (const std::exception &Wrong) {
-      throw jsonrpc::JsonRpcException(
-          jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, Wrong.what());
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
+                                      Wrong.what());
     }
   }
 
--- a/packages/schema/toml.cpp
+++ b/packages/schema/toml.cpp
@@ -161,7 +161,8 @@
   else if (!Rule.fallback().empty())
     setFromText(Into, Field.name(), Rule.fallback());
   else if (!Field.is_repeated() && Field.message_type())
-    readTable(At, toml::table(), *Into.GetReflection()->MutableMessage(&Into, &Field));
+    readTable(At, toml::table(),
+              *Into.GetReflection()->MutableMessage(&Into, &Field));
 }
 
 void Reader::readField(const Place &At, const toml::node &Node,
@@ -275,7 +276,8 @@
   const auto *Access = From.GetReflection();
   std::string Text = "[";
   for (int I = 0; I < Access->FieldSize(From, &Field); ++I)
-    Text += (I ? ", " : "") + quoted(Access->GetRepeatedString(From, &Field, I));
+    Text +=
+        (I ? ", " : "") + quoted(Access->GetRepeatedString(From, &Field, I));
   return Text + "]";
 }
 
@@ -329,10 +331,9 @@
     Faults.push_back({File, Wrong.source().begin.line, "",
                       std::string(Wrong.description())});
   }
-  std::stable_sort(Faults.begin(), Faults.end(),
-                   [](const Fault &A, const Fault &B) {
-                     return A.m_Line < B.m_Line;
-                   });
+  std::stable_sort(
+      Faults.begin(), Faults.end(),
+      [](const Fault &A, const Fault &B) { return A.m_Line < B.m_Line; });
   return Faults;
 }
 
--- a/packages/standin/engine.cpp
+++ b/packages/standin/engine.cpp
@@ -35,14 +35,15 @@
 // What the engine holds for one attempt of a request.
 struct Sequence {
   std::uint64_t m_Epoch = 0;
-  std::uint64_t m_Next = 0;            // next position
-  std::vector<std::uint64_t> m_Cache;  // by layer
-  std::string m_LastCall;              // the call done last, without its number
-  schema::StageReply m_Last;           // the reply to it
+  std::uint64_t m_Next = 0;           // next position
+  std::vector<std::uint64_t> m_Cache; // by layer
+  std::string m_LastCall;             // the call done last, without its number
+  schema::StageReply m_Last;          // the reply to it
 };
 
 net::HttpResponse protobufResponse(const google::protobuf::Message &Body) {
-  return {200, {{"Content-Type", "application/x-protobuf"}},
+  return {200,
+          {{"Content-Type", "application/x-protobuf"}},
           Body.SerializeAsString()};
 }
 
@@ -51,7 +52,8 @@
   Error.set_code(Why.m_Code);
   Error.set_message(Why.m_Code);
   Error.set_expected_position(Why.m_Expected);
-  return {Why.m_Status, {{"Content-Type", "application/x-protobuf"}},
+  return {Why.m_Status,
+          {{"Content-Type", "application/x-protobuf"}},
           Error.SerializeAsString()};
 }
 
@@ -174,11 +176,11 @@
     const auto Now = Clock::now();
     if (m_Settings.m_TokensPerSecond <= 0)
       return Now;
-    m_BusyUntil = std::max(m_BusyUntil, Now) +
-                  std::chrono::duration_cast<Clock::duration>(
-                      std::chrono::duration<double>(
-                          static_cast<double>(Positions) /
-                          m_Settings.m_TokensPerSecond));
+    m_BusyUntil =
+        std::max(m_BusyUntil, Now) +
+        std::chrono::duration_cast<Clock::duration>(
+            std::chrono::duration<double>(static_cast<double>(Positions) /
+                                          m_Settings.m_TokensPerSecond));
     return m_BusyUntil;
   }
 
@@ -192,8 +194,7 @@
         Call.end_layer() != m_Settings.m_EndLayer)
       throw EngineRefusal(409, "wrong_layers");
     auto Found = m_Sequences.find(Call.request());
-    if (Found != m_Sequences.end() &&
-        Found->second.m_Epoch > Call.epoch())
+    if (Found != m_Sequences.end() && Found->second.m_Epoch > Call.epoch())
       throw EngineRefusal(409, "stale_epoch");
     const bool Fresh = Found == m_Sequences.end() ||
                        Found->second.m_Epoch < Call.epoch() ||
@@ -281,9 +282,9 @@
         Value = runLayer(Value, m_Settings.m_FirstLayer + I, Position,
                          Held.m_Cache[I]);
       if (!Call.sample() && Position >= Call.want_from())
-        Reply.add_activations(packActivation(
-            {Value, Position, hashText(Call.request()),
-             m_Settings.m_EndLayer}));
+        Reply.add_activations(
+            packActivation({Value, Position, hashText(Call.request()),
+                            m_Settings.m_EndLayer}));
     }
     m_PositionsRun += Values.size();
     if (Call.sample()) {
--- a/packages/standin/platform.cpp
+++ b/packages/standin/platform.cpp
@@ -12,9 +12,8 @@
 namespace {
 
 net::HttpResponse jsonResponse(unsigned Status, const json::object &Body) {
-  return {Status,
-          {{"Content-Type", "application/json"}},
-          json::serialize(Body)};
+  return {
+      Status, {{"Content-Type", "application/json"}}, json::serialize(Body)};
 }
 
 // The value of a query parameter, decoded.
@@ -100,10 +99,10 @@
     const std::uint64_t Held =
         Found == m_Rows.end() ? 0 : Found->second.m_Version;
     if (Held != Expected)
-      Conflicts.push_back(json::object{
-          {"key", Key},
-          {"version", Held},
-          {"value", Held == 0 ? "" : Found->second.m_Value}});
+      Conflicts.push_back(
+          json::object{{"key", Key},
+                       {"version", Held},
+                       {"value", Held == 0 ? "" : Found->second.m_Value}});
   }
   if (!Conflicts.empty())
     return jsonResponse(409, {{"conflicts", Conflicts}});
@@ -125,9 +124,8 @@
   json::array Rows;
   for (const auto &[Name, Held] : m_Rows)
     if (Name == Key || (!Prefix.empty() && Name.starts_with(Prefix)))
-      Rows.push_back(json::object{{"key", Name},
-                                  {"version", Held.m_Version},
-                                  {"value", Held.m_Value}});
+      Rows.push_back(json::object{
+          {"key", Name}, {"version", Held.m_Version}, {"value", Held.m_Value}});
   return jsonResponse(200, {{"rows", Rows}});
 }
 
--- a/packages/standin/service.cpp
+++ b/packages/standin/service.cpp
@@ -57,9 +57,7 @@
                     {"execution", Execution},
                     {"echo", Echo},
                     {"fill", std::string(Fill, 'x')}};
-  return {201,
-          {{"Content-Type", "application/json"}},
-          json::serialize(Body)};
+  return {201, {{"Content-Type", "application/json"}}, json::serialize(Body)};
 }
 
 } // namespace mimosadale::standin
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -131,7 +131,8 @@
     -d '{"seat": 4, "deposit": 3000}'
   echo
   request="$(sed -n 's/^Mimosadale-Request: //Ip' "$work/head" | tr -d '\r')"
-  [ -z "$request" ] || ctl explain "$request"
+  ctl explain "$request"
+  sleep 0.3 # the answer is recorded within the write window
 done
 executed=0
 while read -r _ address kind _; do
--- /dev/null
+++ b/tests/harness/harness.cpp
@@ -0,0 +1,478 @@
+#include "harness/harness.h"
+
+#include "net/client.h"
+#include "platform/config_store.h"
+#include "platform/digest.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <boost/process.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <thread>
+
+namespace mimosadale::harness {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http_ns = beast::http;
+namespace json = boost::json;
+namespace process = boost::process;
+using asio::ip::tcp;
+
+struct Process::Child {
+  process::child m_Child;
+};
+
+Process::Process(std::string Name, const std::vector<std::string> &Command,
+                 const std::string &LogFile)
+    : m_Name(std::move(Name)), m_Child(std::make_unique<Child>()) {
+  m_Child->m_Child =
+      process::child(process::exe = Command[0],
+                     process::args = std::vector<std::string>(
+                         Command.begin() + 1, Command.end()),
+                     (process::std_out & process::std_err) > LogFile);
+}
+
+Process::~Process() { kill(); }
+
+pid_t Process::id() const { return m_Child->m_Child.id(); }
+
+bool Process::running() { return m_Child->m_Child.running(); }
+
+void Process::signal(int Number) { ::kill(id(), Number); }
+
+void Process::kill() {
+  if (!m_Child->m_Child.valid() || !running())
+    return;
+  signal(SIGKILL);
+  m_Child->m_Child.wait();
+}
+
+int Process::wait() {
+  m_Child->m_Child.wait();
+  return m_Child->m_Child.exit_code();
+}
+
+// The parts of a blocking connection to a router.
+struct EventStream::Link {
+  asio::io_context m_Io;
+  beast::tcp_stream m_Stream{m_Io};
+  beast::flat_buffer m_Buffer;
+  http_ns::response_parser<http_ns::string_body> m_Parser;
+  std::size_t m_Taken = 0;
+  bool m_Broken = false;
+};
+
+EventStream::EventStream(const std::string &Address, const std::string &Target,
+                         const Headers &Extra, const std::string &Body)
+    : m_Link(std::make_unique<Link>()) {
+  const net::Address Where = net::parseAddress(Address);
+  http_ns::request<http_ns::string_body> Request(http_ns::verb::post, Target,
+                                                 11);
+  Request.set(http_ns::field::host, Address);
+  for (const net::HttpHeader &Each : Extra)
+    Request.set(Each.m_Name, Each.m_Value);
+  Request.body() = Body;
+  Request.prepare_payload();
+  beast::error_code Code;
+  m_Link->m_Parser.body_limit(boost::none);
+  m_Link->m_Stream.connect(
+      tcp::endpoint(asio::ip::make_address(Where.m_Ip), Where.m_Port), Code);
+  if (!Code)
+    http_ns::write(m_Link->m_Stream, Request, Code);
+  if (!Code)
+    http_ns::read_header(m_Link->m_Stream, m_Link->m_Buffer, m_Link->m_Parser,
+                         Code);
+  m_Link->m_Broken = Code.failed();
+}
+
+EventStream::~EventStream() = default;
+
+unsigned EventStream::status() const {
+  return m_Link->m_Broken ? 0 : m_Link->m_Parser.get().result_int();
+}
+
+std::string EventStream::header(const std::string &Name) const {
+  return std::string(m_Link->m_Parser.get()[Name]);
+}
+
+bool EventStream::whole() const {
+  return !m_Link->m_Broken && m_Link->m_Parser.is_done();
+}
+
+std::optional<EventStream::Event> EventStream::next() {
+  const std::string &Body = m_Link->m_Parser.get().body();
+  std::size_t End = Body.find("\n\n", m_Link->m_Taken);
+  while (End == std::string::npos) {
+    if (m_Link->m_Broken || m_Link->m_Parser.is_done())
+      return std::nullopt;
+    beast::error_code Code;
+    http_ns::read_some(m_Link->m_Stream, m_Link->m_Buffer, m_Link->m_Parser,
+                       Code);
+    m_Link->m_Broken = Code.failed();
+    End = Body.find("\n\n", m_Link->m_Taken);
+  }
+  std::istringstream Lines(Body.substr(m_Link->m_Taken, End - m_Link->m_Taken));
+  m_Link->m_Taken = End + 2;
+  Event Read;
+  for (std::string Line; std::getline(Lines, Line);) {
+    if (Line.starts_with("id: "))
+      Read.m_Id = Line.substr(4);
+    if (Line.starts_with("event: "))
+      Read.m_Kind = Line.substr(7);
+    if (Line.starts_with("data: "))
+      Read.m_Data = Line.substr(6);
+  }
+  return Read;
+}
+
+StreamResult readStream(EventStream &From) {
+  StreamResult Result;
+  Result.m_Status = From.status();
+  Result.m_Request = From.header("Mimosadale-Request");
+  if (Result.m_Status != 200) {
+    while (From.next())
+      continue;
+    return Result;
+  }
+  bool Done = false;
+  while (const auto Event = From.next()) {
+    if (Event->m_Kind == "error") {
+      Result.m_Error = Event->m_Data;
+      continue;
+    }
+    if (Event->m_Data == "[DONE]") {
+      Done = true;
+      continue;
+    }
+    if (Event->m_Id.empty())
+      continue;
+    const json::value Parsed = json::parse(Event->m_Data);
+    const json::object &Choice =
+        Parsed.as_object().at("choices").as_array().at(0).as_object();
+    Result.m_LastId = Event->m_Id;
+    Result.m_Text += Choice.at("delta").as_object().at("content").as_string();
+    ++Result.m_Tokens;
+  }
+  Result.m_Done = Done && From.whole();
+  return Result;
+}
+
+net::HttpResponse http(const std::string &Method, const std::string &Address,
+                       const std::string &Target, const Headers &Extra,
+                       const std::string &Body,
+                       std::chrono::milliseconds Timeout) {
+  asio::io_context Io;
+  net::HttpClient Client(Io.get_executor());
+  net::HttpRequest Request{Method, Target, Extra, Body};
+  net::ExchangeOptions Options;
+  Options.m_Timeout = Timeout;
+  Options.m_ConnectTimeout = std::chrono::seconds(5);
+  auto Answer = asio::co_spawn(
+      Io, Client.exchange(net::parseAddress(Address), Request, Options),
+      asio::use_future);
+  Io.run();
+  try {
+    return Answer.get();
+  } catch (const net::NetError &) {
+    return {0, {}, ""};
+  }
+}
+
+bool eventually(const std::function<bool()> &Condition,
+                std::chrono::milliseconds Bound) {
+  const auto End = std::chrono::steady_clock::now() + Bound;
+  while (std::chrono::steady_clock::now() < End) {
+    if (Condition())
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return Condition();
+}
+
+struct Fleet::State {
+  struct RouterPlace {
+    std::string m_Callers;
+    std::string m_Operators;
+    std::string m_Peers;
+  };
+  std::map<std::string, std::unique_ptr<Process>> m_Processes;
+  std::map<std::string, std::vector<std::string>> m_Commands;
+  std::map<std::string, RouterPlace> m_Routers;
+  std::vector<std::string> m_Seeds;
+  std::vector<std::unique_ptr<tcp::acceptor>> m_Reserved;
+  asio::io_context m_Io;
+};
+
+Fleet::Fleet() : m_State(std::make_unique<State>()) {
+  std::string Template =
+      (std::filesystem::temp_directory_path() / "mimosadale-XXXXXX").string();
+  m_Directory = ::mkdtemp(Template.data());
+  std::ofstream(tokenFile()) << "operators.test\n";
+  auto &Model = *m_Declaration.add_models();
+  Model.set_name("guide");
+  Model.set_version("1");
+  Model.set_layers(12);
+  auto &Service = *m_Declaration.add_services();
+  Service.set_name("booking");
+  Service.set_calls(schema::AT_MOST_ONCE);
+  Service.set_timeout_ms(3000);
+  for (const char *Name : {"counter", "desk"}) {
+    auto &Workspace = *m_Declaration.add_workspaces();
+    Workspace.set_name(Name);
+    Workspace.set_weight(1);
+    Workspace.set_token_salt("salt");
+    Workspace.set_token_sha256(
+        platform::sha256Hex(std::string("salt") + Name + ".secret"));
+  }
+}
+
+Fleet::~Fleet() {
+  stopAll();
+  if (!std::getenv("MIMOSADALE_KEEP_LOGS"))
+    std::filesystem::remove_all(m_Directory);
+  else
+    std::cerr << "logs in " << m_Directory << "\n";
+}
+
+void Fleet::stopAll() { m_State->m_Processes.clear(); }
+
+std::string Fleet::bin(const std::string &Name) const {
+  const char *Where = std::getenv("MIMOSADALE_BIN");
+  return std::string(Where ? Where : "build/packages") + "/" + Name;
+}
+
+// An address that nothing uses: each test process has an own loopback IP from
+// its id, so that tests that run side by side never meet; ports are counted.
+std::string Fleet::freeAddress() {
+  static unsigned Port = 20000;
+  const auto Id = static_cast<unsigned>(::getpid());
+  const std::string Ip = "127." + std::to_string(1 + Id / 65536 % 250) + "." +
+                         std::to_string(Id / 256 % 256) + "." +
+                         std::to_string(1 + Id % 254);
+  return Ip + ":" + std::to_string(++Port);
+}
+
+Process &Fleet::launch(const std::string &Name,
+                       const std::vector<std::string> &Command) {
+  m_State->m_Commands[Name] = Command;
+  auto &Slot = m_State->m_Processes[Name];
+  Slot.reset();
+  Slot = std::make_unique<Process>(Name, Command,
+                                   m_Directory + "/" + Name + ".log");
+  return *Slot;
+}
+
+Process &Fleet::restart(const std::string &Name) {
+  const std::vector<std::string> Command = m_State->m_Commands.at(Name);
+  return launch(Name, Command);
+}
+
+Process &Fleet::process(const std::string &Name) {
+  return *m_State->m_Processes.at(Name);
+}
+
+void Fleet::startPlatform() {
+  if (m_Platform.empty())
+    m_Platform = freeAddress();
+  launch("platform", {bin("mimosadale-standin"), "--kind", "platform",
+                      "--listen", m_Platform});
+  eventually([&] { return http("GET", m_Platform, "/hosts").m_Status == 200; });
+}
+
+Process &Fleet::startEngine(const std::string &Name, unsigned First,
+                            unsigned End, double Rate,
+                            const std::string &Centre) {
+  auto &Endpoint = *m_Declaration.add_endpoints();
+  Endpoint.set_name(Name);
+  Endpoint.set_host("host-" + Name);
+  Endpoint.set_data_centre(Centre);
+  Endpoint.set_address(freeAddress());
+  Endpoint.set_kind(schema::ENGINE);
+  Endpoint.set_model("guide");
+  Endpoint.set_version("1");
+  Endpoint.set_first_layer(First);
+  Endpoint.set_end_layer(End);
+  Endpoint.set_tokens_per_second(Rate > 0 ? Rate : 10000);
+  return launch(Name, {bin("mimosadale-standin"), "--kind", "engine", "--name",
+                       Name, "--listen", Endpoint.address(), "--first-layer",
+                       std::to_string(First), "--end-layer",
+                       std::to_string(End), "--rate", std::to_string(Rate)});
+}
+
+Process &Fleet::startService(const std::string &Name,
+                             const std::string &Service,
+                             const std::string &Centre) {
+  auto &Endpoint = *m_Declaration.add_endpoints();
+  Endpoint.set_name(Name);
+  Endpoint.set_host("host-" + Name);
+  Endpoint.set_data_centre(Centre);
+  Endpoint.set_address(freeAddress());
+  Endpoint.set_kind(schema::PLAIN);
+  Endpoint.set_service(Service);
+  return launch(Name, {bin("mimosadale-standin"), "--kind", "service", "--name",
+                       Name, "--listen", Endpoint.address()});
+}
+
+std::string Fleet::settingsFile(const std::string &Router) const {
+  return m_Directory + "/" + Router + ".toml";
+}
+
+Process &Fleet::startRouter(const std::string &Name, const std::string &Centre,
+                            const std::string &Extra) {
+  if (!m_State->m_Routers.contains(Name)) {
+    m_State->m_Routers[Name] = {freeAddress(), freeAddress(), freeAddress()};
+    m_State->m_Seeds.push_back(m_State->m_Routers[Name].m_Peers);
+  }
+  const State::RouterPlace &Place = m_State->m_Routers[Name];
+  std::ofstream Out(settingsFile(Name));
+  Out << "name = \"" << Name << "\"\ndata_centre = \"" << Centre << "\"\n"
+      << "[callers]\naddress = \"" << Place.m_Callers << "\"\n"
+      << "[operators]\naddress = \"" << Place.m_Operators << "\"\n"
+      << "[peers]\naddress = \"" << Place.m_Peers << "\"\nseeds = [";
+  for (const std::string &Seed : m_State->m_Seeds)
+    Out << "\"" << Seed << "\",";
+  Out << "]\nperiod_ms = 200\n[[peers.keys]]\nid = 1\nsecret = \"shared\"\n"
+      << "[platform]\naddress = \"" << m_Platform << "\"\ntimeout_ms = 500\n"
+      << "poll_ms = 100\n"
+      << "[access]\ntoken_file = \"" << tokenFile() << "\"\n"
+      << Extra;
+  Out.close();
+  return launch(Name, {bin("mimosadale"), "--config", settingsFile(Name)});
+}
+
+std::string Fleet::callers(const std::string &Router) const {
+  return m_State->m_Routers.at(Router).m_Callers;
+}
+
+std::string Fleet::operators(const std::string &Router) const {
+  return m_State->m_Routers.at(Router).m_Operators;
+}
+
+std::string Fleet::address(const std::string &Endpoint) const {
+  for (const schema::Endpoint &Each : m_Declaration.endpoints())
+    if (Each.name() == Endpoint)
+      return Each.address();
+  throw std::runtime_error("no endpoint " + Endpoint);
+}
+
+void Fleet::apply() {
+  net::HttpClient Client(m_State->m_Io.get_executor());
+  const net::Address Where = net::parseAddress(m_Platform);
+  platform::TableClient Table(Client, Where, std::chrono::seconds(5));
+  platform::ObjectClient Objects(Client, Where, std::chrono::seconds(5));
+  platform::ConfigStore Store(Table, Objects);
+  const auto wait = [&](auto Task) {
+    auto Future =
+        asio::co_spawn(m_State->m_Io, std::move(Task), asio::use_future);
+    m_State->m_Io.restart();
+    m_State->m_Io.run();
+    return Future.get();
+  };
+  const auto Seen = wait(Store.current());
+  wait(Store.apply(m_Declaration, Seen.value_or(platform::StoredGeneration()),
+                   "test", "test"));
+}
+
+void Fleet::waitReady() {
+  for (const auto &[Name, Place] : m_State->m_Routers)
+    if (m_State->m_Processes.contains(Name) && process(Name).running())
+      eventually([&] {
+        return http("GET", Place.m_Callers, "/readyz").m_Status == 200;
+      });
+}
+
+void Fleet::fault(const std::string &Address, const std::string &Json) {
+  http("POST", Address, "/standin/faults", {}, Json);
+}
+
+double Fleet::metric(const std::string &Router, const std::string &Name,
+                     const std::string &Label) {
+  std::istringstream Lines(http("GET", operators(Router), "/metrics").m_Body);
+  double Sum = 0;
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.starts_with(Name) && Line.find(Label) != std::string::npos)
+      Sum += std::stod(Line.substr(Line.rfind(' ')));
+  return Sum;
+}
+
+Fleet::CtlResult Fleet::ctl(const std::vector<std::string> &Arguments) {
+  std::vector<std::string> All{"--platform", m_Platform, "--token-file",
+                               tokenFile()};
+  for (const auto &[Name, Place] : m_State->m_Routers) {
+    All.push_back("--router");
+    All.push_back(Place.m_Operators);
+  }
+  All.insert(All.end(), Arguments.begin(), Arguments.end());
+  process::ipstream Out;
+  process::child Child(process::exe = bin("mimosadalectl"), process::args = All,
+                       (process::std_out & process::std_err) > Out);
+  std::ostringstream Text;
+  Text << Out.rdbuf();
+  Child.wait();
+  return {Child.exit_code(), Text.str()};
+}
+
+std::vector<std::string> Fleet::violations() {
+  std::vector<std::string> All;
+  for (const schema::Endpoint &Each : m_Declaration.endpoints()) {
+    if (Each.kind() != schema::ENGINE)
+      continue;
+    const auto Report = http("GET", Each.address(), "/standin/report");
+    if (Report.m_Status != 200)
+      continue;
+    const json::value Parsed = json::parse(Report.m_Body);
+    for (const json::value &Violation :
+         Parsed.as_object().at("violations").as_array())
+      All.emplace_back(Violation.as_string());
+  }
+  return All;
+}
+
+std::uint64_t Fleet::executions(const std::string &Key) {
+  std::uint64_t Sum = 0;
+  for (const schema::Endpoint &Each : m_Declaration.endpoints()) {
+    if (Each.kind() != schema::PLAIN)
+      continue;
+    const auto Report = http("GET", Each.address(), "/standin/executions");
+    if (Report.m_Status != 200)
+      continue;
+    const json::value Parsed = json::parse(Report.m_Body);
+    const json::object &Object = Parsed.as_object();
+    if (Key.empty())
+      Sum += Object.at("total").to_number<std::uint64_t>();
+    else if (const auto *Found =
+                 Object.at("by_key").as_object().if_contains(Key))
+      Sum += Found->to_number<std::uint64_t>();
+  }
+  return Sum;
+}
+
+Headers Fleet::auth(const std::string &Workspace) const {
+  return {{"Authorization", "Bearer " + Workspace + ".secret"}};
+}
+
+std::string Fleet::completion(const std::string &Prompt, unsigned Tokens,
+                              unsigned Seed, bool Stream) {
+  return json::serialize(json::object{
+      {"model", "guide"},
+      {"stream", Stream},
+      {"seed", Seed},
+      {"max_tokens", Tokens},
+      {"messages",
+       json::array{json::object{{"role", "user"}, {"content", Prompt}}}}});
+}
+
+} // namespace mimosadale::harness
--- /dev/null
+++ b/tests/harness/harness.h
@@ -0,0 +1,165 @@
+// Starts routers and stand-ins as processes and talks to them.
+#ifndef MIMOSADALE_TESTS_HARNESS_H
+#define MIMOSADALE_TESTS_HARNESS_H
+
+#include "net/http.h"
+#include "schema/generated/declaration.pb.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace mimosadale::harness {
+
+using Headers = std::vector<net::HttpHeader>;
+
+/// A process that this test started; ended by id when the object goes.
+class Process {
+public:
+  Process(std::string Name, const std::vector<std::string> &Command,
+          const std::string &LogFile);
+  ~Process();
+  Process(Process &&) = delete;
+
+  void signal(int Number);
+  /// Ends it at once, as a lost host would.
+  void kill();
+  /// The exit status; waits for it.
+  int wait();
+  bool running();
+  const std::string &name() const { return m_Name; }
+  pid_t id() const;
+
+private:
+  struct Child;
+  std::string m_Name;
+  std::unique_ptr<Child> m_Child;
+};
+
+/// A streamed answer, read event by event.
+class EventStream {
+public:
+  struct Event {
+    std::string m_Id;
+    std::string m_Kind;
+    std::string m_Data;
+  };
+
+  EventStream(const std::string &Address, const std::string &Target,
+              const Headers &Extra, const std::string &Body);
+  ~EventStream();
+
+  unsigned status() const;
+  std::string header(const std::string &Name) const;
+  /// The next event; none at the end of the stream, whole or not.
+  std::optional<Event> next();
+  /// Whether the stream ended with its last chunk.
+  bool whole() const;
+
+private:
+  struct Link;
+  std::unique_ptr<Link> m_Link;
+};
+
+struct StreamResult {
+  unsigned m_Status = 0;
+  std::string m_Text;
+  std::string m_LastId;
+  std::string m_Error;
+  std::string m_Request;
+  unsigned m_Tokens = 0;
+  bool m_Done = false; // [DONE] came and the stream ended whole
+};
+
+/// One request, blocking. A failed exchange gives status 0.
+net::HttpResponse
+http(const std::string &Method, const std::string &Address,
+     const std::string &Target, const Headers &Extra = {},
+     const std::string &Body = "",
+     std::chrono::milliseconds Timeout = std::chrono::seconds(20));
+
+/// Reads a stream to its end.
+StreamResult readStream(EventStream &From);
+
+/// Waits until a condition holds. \returns whether it did within the bound.
+bool eventually(const std::function<bool()> &Condition,
+                std::chrono::milliseconds Bound = std::chrono::seconds(20));
+
+/// A whole installation on loopback addresses.
+class Fleet {
+public:
+  Fleet();
+  ~Fleet();
+
+  /// Starts the platform's stand-in.
+  void startPlatform();
+  /// Adds an engine to the declaration and starts it.
+  Process &startEngine(const std::string &Name, unsigned First, unsigned End,
+                       double Rate = 0, const std::string &Centre = "fukuoka");
+  /// Adds a plain service's endpoint and starts it.
+  Process &startService(const std::string &Name, const std::string &Service,
+                        const std::string &Centre = "fukuoka");
+  /// Starts an engine or service again under the address it had.
+  Process &restart(const std::string &Name);
+  /// Starts a router. \p Extra is appended to its settings.
+  Process &startRouter(const std::string &Name,
+                       const std::string &Centre = "fukuoka",
+                       const std::string &Extra = "");
+  /// Puts the declaration in force through the platform and waits for it.
+  void apply();
+  /// Waits until every router started is ready.
+  void waitReady();
+
+  schema::Declaration m_Declaration;
+
+  std::string platform() const { return m_Platform; }
+  std::string callers(const std::string &Router) const;
+  std::string operators(const std::string &Router) const;
+  std::string address(const std::string &Endpoint) const;
+  std::string settingsFile(const std::string &Router) const;
+  Process &process(const std::string &Name);
+  std::string directory() const { return m_Directory; }
+  std::string tokenFile() const { return m_Directory + "/operator-token"; }
+
+  /// Tells a stand-in, by address, to misbehave.
+  void fault(const std::string &Address, const std::string &Json);
+  /// Sum of a counter of a router over its labels that contain \p Label.
+  double metric(const std::string &Router, const std::string &Name,
+                const std::string &Label = "");
+  /// Runs mimosadalectl; gives its output and status.
+  struct CtlResult {
+    int m_Status;
+    std::string m_Output;
+  };
+  CtlResult ctl(const std::vector<std::string> &Arguments);
+  /// Violations that the engines saw.
+  std::vector<std::string> violations();
+  /// Executions recorded by all services, of one key or in all.
+  std::uint64_t executions(const std::string &Key = "");
+
+  /// Headers of the workspace `counter` (or another one declared).
+  Headers auth(const std::string &Workspace = "counter") const;
+  /// Body of a completion request.
+  static std::string completion(const std::string &Prompt, unsigned Tokens,
+                                unsigned Seed, bool Stream);
+
+private:
+  std::string freeAddress();
+  std::string bin(const std::string &Name) const;
+  Process &launch(const std::string &Name,
+                  const std::vector<std::string> &Command);
+  void stopAll();
+
+  struct State;
+  std::unique_ptr<State> m_State;
+  std::string m_Directory;
+  std::string m_Platform;
+};
+
+} // namespace mimosadale::harness
+
+#endif
