--- a/packages/router/claim_run.cpp
+++ b/packages/router/claim_run.cpp
@@ -96,7 +96,7 @@
   Result.m_Kind = decide::ClaimDispatch::Kind::NeverSent;
   // The clock is read as late as can be: a holder paused until now must not
   // send, since its caller has been told that the call did not run.
-  if (Context::now() >= m_SendBefore || m_Claim.answered())
+  if (Context::now() >= m_SendBefore)
     co_return Result;
   ServiceClient Services(m_Shared);
   const ServiceTry Try = co_await Services.send(
--- a/packages/standin/faults.h
+++ b/packages/standin/faults.h
@@ -30,6 +30,9 @@
   /// Counts down a number of times; whether the fault is to be shown now.
   bool take(const std::string &Name);
 
+  /// Waits for \p Milliseconds. \pre None.
+  static boost::asio::awaitable<void> pause(double Milliseconds);
+
   /// Waits as `delay_ms` says. \pre None.
   boost::asio::awaitable<void> delay(net::HttpExchange &Exchange);
 
--- a/packages/standin/platform.cpp
+++ b/packages/standin/platform.cpp
@@ -40,6 +40,8 @@
   }
   const bool Commits = Request.m_Target == "/table/transact";
   co_await m_Faults.delay(Exchange);
+  while (Commits && m_Faults.flag("hold"))
+    co_await m_Faults.pause(5);
   if (m_Faults.flag("down") || (Commits && m_Faults.take("lose_before"))) {
     Exchange.abort();
     co_return;
--- a/packages/standin/platform.h
+++ b/packages/standin/platform.h
@@ -13,7 +13,7 @@
 namespace mimosadale::standin {
 
 /// Serves docs/protocols/platform.md. Faults: `down` (every call fails),
-/// `delay_ms`, `lose_before` and `lose_after` (so many commits whose answer is
+/// `delay_ms`, `hold` (commits wait while it is set), `lose_before` and `lose_after` (so many commits whose answer is
 /// lost before or after the effect), `writes_per_second`.
 ///
 /// \par Thread safety
