A request in flight outlives engines that failed it once

Cause: a request avoided every engine that ever failed it, for ever; two wrong replies on a stage of two engines, or both frozen for a moment, left no path. Ruled out: the engines being dead (the directory had them usable again). Change: avoid the failed ones first, then only the last, then none; a request that ran in part waits up to 3 s for a path, one without effect is refused at once.

--- a/packages/decide/pipeline.cpp
+++ b/packages/decide/pipeline.cpp
@@ -1,5 +1,6 @@
 #include "decide/pipeline.h"
 
+#include <algorithm>
 #include <utility>
 
 #define XXH_INLINE_ALL
@@ -15,6 +16,12 @@
 // Wait before a busy engine is asked again; doubles with each time.
 constexpr Duration BusyDelay = std::chrono::milliseconds(5);
 
+// How long a request that already ran in part waits for a path, and how often
+// it looks for one.
+constexpr Duration PathPatience = std::chrono::seconds(3);
+constexpr Duration FirstPathPause = std::chrono::milliseconds(20);
+constexpr Duration MostPathPause = std::chrono::milliseconds(320);
+
 // When to come back after a refusal that new capacity or repair would lift.
 constexpr Duration RepairHint = std::chrono::seconds(2);
 
@@ -35,12 +42,11 @@
 PipelineActions Pipeline::beginEpoch(Instant Now) {
   if (Now >= m_Start.m_Deadline)
     return refuse(schema::DEADLINE_PASSED, "the deadline has passed");
-  auto Chosen = m_Hooks.m_ChoosePath(m_Lost);
-  if (!Chosen || !tilesExactly(*Chosen, m_Start.m_Layers))
-    return refuse(schema::NO_PATH,
-                  "no engines that can be reached hold all layers of " +
-                      m_Start.m_Model.m_Name,
-                  RepairHint);
+  auto Chosen = choosePath();
+  if (!Chosen)
+    return noPath(Now);
+  m_PathlessSince.reset();
+  m_PathPause = {};
   dropLog();
   m_Path = std::move(*Chosen);
   m_Epoch = advance(m_Epoch);
@@ -50,6 +56,56 @@
   return beginPass(0);
 }
 
+// No path leads on. A request without effect is refused at once; one that
+// already ran in part waits a moment, as a frozen or restarted engine would
+// lose it for nothing.
+PipelineActions Pipeline::noPath(Instant Now) {
+  const Instant Since = m_PathlessSince.value_or(Now);
+  m_PathlessSince = Since;
+  if (m_Run.proof() || Now - Since >= PathPatience)
+    return refuse(schema::NO_PATH,
+                  "no engines that can be reached hold all layers of " +
+                      m_Start.m_Model.m_Name,
+                  RepairHint);
+  m_PathPause = std::clamp(2 * m_PathPause, FirstPathPause, MostPathPause);
+  return {AwaitPath{m_PathPause}};
+}
+
+PipelineActions Pipeline::onPathAwaited(Instant Now) {
+  if (m_Finished || m_InProgress)
+    return {};
+  return beginEpoch(Now);
+}
+
+// What to avoid, best first: all engines that failed this request, only the one
+// that failed last, none. An engine that failed once may be the only one left;
+// those known to be dead are never offered.
+std::vector<EndpointSet> Pipeline::avoidances() const {
+  return {m_Lost, {m_LastLost}, {}};
+}
+
+std::optional<Path> Pipeline::choosePath() {
+  for (const EndpointSet &Avoid : avoidances()) {
+    auto Chosen = m_Hooks.m_ChoosePath(Avoid);
+    if (Chosen && tilesExactly(*Chosen, m_Start.m_Layers))
+      return Chosen;
+  }
+  return std::nullopt;
+}
+
+std::optional<StagePlan> Pipeline::chooseReplacement() {
+  for (const EndpointSet &Avoid : avoidances())
+    if (auto Chosen =
+            m_Hooks.m_ChooseReplacement(m_Path[m_Stage].m_Layers, Avoid))
+      return Chosen;
+  return std::nullopt;
+}
+
+void Pipeline::lose(const EndpointId &Failed) {
+  m_Lost.insert(Failed);
+  m_LastLost = Failed;
+}
+
 PipelineActions Pipeline::beginPass(std::uint64_t First) {
   m_First = First;
   m_Stage = 0;
@@ -244,7 +300,7 @@
   switch (How) {
   case StageFault::ConnectFailed:
     m_Run.dispatchNeverSent();
-    m_Lost.insert(Failed);
+    lose(Failed);
     return recoverStage(schema::STAGE_UNREACHABLE, Now);
   case StageFault::Broken:
   case StageFault::Silent:
@@ -253,7 +309,7 @@
   case StageFault::LostCache:
     return recoverStage(schema::STAGE_LOST_CACHE, Now);
   case StageFault::Leaving:
-    m_Lost.insert(Failed);
+    lose(Failed);
     return recoverStage(schema::STAGE_LEAVING, Now);
   case StageFault::Busy:
     if (++m_Resends > MaxResends || !m_Hooks.m_TakeRetry(schema::STAGE_BUSY))
@@ -262,7 +318,7 @@
     return sendCurrent(m_SentFirst != m_First, false,
                        BusyDelay * (1u << m_Resends));
   case StageFault::Protocol:
-    m_Lost.insert(Failed);
+    lose(Failed);
     return recoverStage(schema::STAGE_UNREACHABLE, Now);
   }
   return {};
@@ -279,7 +335,7 @@
                     RepairHint);
     return sendCurrent(m_SentFirst != m_First, true, {});
   }
-  m_Lost.insert(m_Path[m_Stage].m_Endpoint);
+  lose(m_Path[m_Stage].m_Endpoint);
   return recoverStage(schema::STAGE_SILENT, Now);
 }
 
@@ -291,8 +347,7 @@
   const bool HasLog = m_Stage == 0 || m_LogKept;
   if (!HasLog || Nothing)
     return restart(Why, Now);
-  const auto Chosen =
-      m_Hooks.m_ChooseReplacement(m_Path[m_Stage].m_Layers, m_Lost);
+  const auto Chosen = chooseReplacement();
   if (!Chosen)
     return restart(Why, Now);
   if (!m_Hooks.m_TakeRetry(Why))
--- a/packages/decide/pipeline.h
+++ b/packages/decide/pipeline.h
@@ -87,6 +87,11 @@
   schema::Token m_Token;
 };
 
+/// Come back after a while: no path leads on now, but one may soon.
+struct AwaitPath {
+  Duration m_Delay{};
+};
+
 /// The answer is whole.
 struct CompleteRequest {
   std::uint64_t m_PromptTokens = 0;
@@ -105,7 +110,7 @@
 };
 
 using PipelineAction =
-    std::variant<SendStage, ProbeStage, CancelStage, DeliverToken,
+    std::variant<SendStage, ProbeStage, CancelStage, DeliverToken, AwaitPath,
                  CompleteRequest, RefuseRequest, DropReply>;
 using PipelineActions = std::vector<PipelineAction>;
 
@@ -143,6 +148,9 @@
   /// The result of the probe made for the call \p Call.
   PipelineActions onProbe(std::uint64_t Call, bool Answered, Instant Now);
 
+  /// The time of an `AwaitPath` is over.
+  PipelineActions onPathAwaited(Instant Now);
+
   /// The caller left or the deadline passed: frees the engines.
   PipelineActions stop(schema::Reason Why);
 
@@ -160,6 +168,11 @@
   };
 
   PipelineActions beginEpoch(Instant Now);
+  PipelineActions noPath(Instant Now);
+  std::optional<Path> choosePath();
+  std::optional<StagePlan> chooseReplacement();
+  std::vector<EndpointSet> avoidances() const;
+  void lose(const EndpointId &Failed);
   PipelineActions beginPass(std::uint64_t First);
   PipelineActions sendCurrent(bool Rebuild, bool Fresh, Duration Delay);
   PipelineActions recoverStage(schema::RetryReason Why, Instant Now);
@@ -197,7 +210,10 @@
   std::uint64_t m_Hash = 0;
   bool m_Ended = false;   // the model ended its answer
   unsigned m_Resends = 0; // of the call in progress
-  EndpointSet m_Lost;
+  EndpointSet m_Lost;     // engines that failed this request
+  EndpointId m_LastLost;
+  std::optional<Instant> m_PathlessSince;
+  Duration m_PathPause{};
   bool m_Finished = false;
 };
 
--- a/packages/router/completion_call.cpp
+++ b/packages/router/completion_call.cpp
@@ -250,6 +250,8 @@
       cancelLater(std::move(*Cancel));
     else if (auto *Token = std::get_if<decide::DeliverToken>(&Each))
       co_await deliver(std::move(*Token));
+    else if (auto *Wait = std::get_if<decide::AwaitPath>(&Each))
+      co_await awaitPath(Wait->m_Delay);
     else if (auto *Done = std::get_if<decide::CompleteRequest>(&Each))
       co_await complete(*Done);
     else if (auto *Refused = std::get_if<decide::RefuseRequest>(&Each))
@@ -284,6 +286,12 @@
   m_Next = m_Pipeline->onProbe(Probe.m_Call, Answered, Context::now());
 }
 
+asio::awaitable<void> CompletionCall::awaitPath(Duration Delay) {
+  asio::steady_timer Pause(co_await asio::this_coro::executor, Delay);
+  co_await Pause.async_wait(asio::use_awaitable);
+  m_Next = m_Pipeline->onPathAwaited(Context::now());
+}
+
 void CompletionCall::cancelLater(decide::CancelStage Cancel) {
   asio::co_spawn(
       m_Shared.m_Executor,
--- a/packages/router/completion_call.h
+++ b/packages/router/completion_call.h
@@ -41,6 +41,7 @@
   boost::asio::awaitable<void> carryOut(decide::PipelineActions Actions);
   boost::asio::awaitable<void> send(decide::SendStage Send);
   boost::asio::awaitable<void> probe(decide::ProbeStage Probe);
+  boost::asio::awaitable<void> awaitPath(Duration Delay);
   boost::asio::awaitable<void> deliver(decide::DeliverToken Token);
   boost::asio::awaitable<void> complete(decide::CompleteRequest Done);
   void cancelLater(decide::CancelStage Cancel);
--- a/packages/standin/platform.h
+++ b/packages/standin/platform.h
@@ -13,8 +13,9 @@
 namespace mimosadale::standin {
 
 /// Serves docs/protocols/platform.md. Faults: `down` (every call fails),
-/// `delay_ms`, `hold` (commits wait while it is set), `lose_before` and `lose_after` (so many commits whose answer is
-/// lost before or after the effect), `writes_per_second`.
+/// `delay_ms`, `hold` (commits wait while it is set), `lose_before` and
+/// `lose_after` (so many commits whose answer is lost before or after the
+/// effect), `writes_per_second`.
 ///
 /// \par Thread safety
 /// Safe from any thread.
--- a/tests/process/claims_test.cpp
+++ b/tests/process/claims_test.cpp
@@ -79,9 +79,8 @@
     CAPTURE(Each.m_Name);
     With.m_Fleet.fault(With.m_Fleet.platform(), Each.m_Fault);
     const auto First = With.call("r1", Each.m_Name);
-    With.m_Fleet.fault(
-        With.m_Fleet.platform(),
-        R"({"lose_before": 0, "lose_after": 0, "delay_ms": 0})");
+    With.m_Fleet.fault(With.m_Fleet.platform(),
+                       R"({"lose_before": 0, "lose_after": 0, "delay_ms": 0})");
     if (runState(First) == "not_run")
       CHECK(With.m_Fleet.executions(Each.m_Name) == 0);
     CHECK(With.settle("r2", Each.m_Name).m_Status == 201);
@@ -132,7 +131,8 @@
     CHECK(With.m_Fleet.executions("race-" + std::to_string(I)) == 1);
 }
 
-TEST_CASE("a router killed during the call: unknown, never run again, settled") {
+TEST_CASE(
+    "a router killed during the call: unknown, never run again, settled") {
   Booking With;
   With.m_Fleet.fault(With.m_Service, R"({"delay_ms": 2500})");
   std::thread Caller([&] { With.call("r1", "killed"); });
@@ -158,7 +158,8 @@
   const std::string Row(Claims.at(0).at("row").as_string());
   const auto settle = [&](const std::string &Outcome) {
     return With.m_Fleet.ctl({"claims", "settle", Row, "--outcome", Outcome,
-                             "--author", "ana", "--reason", "asked the family"});
+                             "--author", "ana", "--reason",
+                             "asked the family"});
   };
   CHECK(settle("ran").m_Status == 0);
   CHECK(settle("not-run").m_Status == 3);
@@ -208,15 +209,15 @@
   CHECK(With.m_Fleet.executions("unreachable") == 1);
 }
 
-TEST_CASE("an endpoint's own word that it did nothing counts if it is trusted") {
+TEST_CASE(
+    "an endpoint's own word that it did nothing counts if it is trusted") {
   Booking With;
   With.m_Fleet.fault(With.m_Service, R"({"not_run": 1})");
   CHECK(reason(With.call("r1", "untrusted")) == "outcome_unknown");
   With.m_Fleet.m_Declaration.mutable_services(0)->set_trusted_not_run(true);
   With.m_Fleet.apply();
   CHECK(harness::eventually([&] {
-    return With.m_Fleet.metric("r1", "mimosadale_state",
-                               "\"generation\"") == 2;
+    return With.m_Fleet.metric("r1", "mimosadale_state", "\"generation\"") == 2;
   }));
   With.m_Fleet.fault(With.m_Service, R"({"not_run": 1})");
   CHECK(runState(With.call("r1", "trusted")) == "not_run");
--- a/tests/process/pipeline_faults_test.cpp
+++ b/tests/process/pipeline_faults_test.cpp
@@ -74,11 +74,8 @@
 
   static std::string textOf(const harness::EventStream::Event &Event) {
     const json::value Parsed = json::parse(Event.m_Data);
-    return std::string(Parsed.at("choices")
-                           .at(0)
-                           .at("delta")
-                           .at("content")
-                           .as_string());
+    return std::string(
+        Parsed.at("choices").at(0).at("delta").at("content").as_string());
   }
 
   double retries(const std::string &Reason) {
@@ -87,8 +84,8 @@
   }
 
   json::object report(const std::string &Engine) {
-    const auto Answer = harness::http("GET", m_Fleet.address(Engine),
-                                      "/standin/report");
+    const auto Answer =
+        harness::http("GET", m_Fleet.address(Engine), "/standin/report");
     return json::parse(Answer.m_Body).as_object();
   }
 
@@ -135,6 +132,17 @@
   With.runStreams(4, [] {});
 }
 
+TEST_CASE("all engines of a stage frozen for a while: no stream is lost") {
+  Pipelines With;
+  With.runStreams(4, [&] {
+    for (const char *Each : {"b1", "b2"})
+      With.m_Fleet.process(Each).signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    for (const char *Each : {"b1", "b2"})
+      With.m_Fleet.process(Each).signal(SIGCONT);
+  });
+}
+
 TEST_CASE("connections gone silent: resumed on new ones, no cache rebuilt") {
   Pipelines With;
   With.runStreams(6, [&] {
@@ -150,9 +158,8 @@
 
 TEST_CASE("wrong, broken and refused replies never reach a caller") {
   Pipelines With;
-  for (const char *Fault :
-       {"wrong_request", "wrong_position", "wrong_epoch", "truncate", "reset",
-        "busy"}) {
+  for (const char *Fault : {"wrong_request", "wrong_position", "wrong_epoch",
+                            "truncate", "reset", "busy"}) {
     CAPTURE(Fault);
     With.runStreams(2, [&] {
       for (const char *Engine : {"a1", "a2", "b1", "b2", "c1", "c2"})
@@ -223,13 +230,14 @@
   CHECK_FALSE(net::findHeader(Refused.m_Headers, "Retry-After").empty());
 }
 
-TEST_CASE("the deadline: the final answer comes with it, the engines are freed") {
+TEST_CASE(
+    "the deadline: the final answer comes with it, the engines are freed") {
   Pipelines With;
   auto Headers = With.m_Fleet.auth();
   Headers.push_back({"Mimosadale-Timeout-Ms", "300"});
-  const auto Late = harness::http(
-      "POST", With.m_Fleet.callers("r1"), "/v1/chat/completions", Headers,
-      Fleet::completion("p", 2000, 1, false));
+  const auto Late =
+      harness::http("POST", With.m_Fleet.callers("r1"), "/v1/chat/completions",
+                    Headers, Fleet::completion("p", 2000, 1, false));
   CHECK(Late.m_Status == 504);
   CHECK(net::findHeader(Late.m_Headers, "Mimosadale-Reason") ==
         "deadline_passed");
@@ -263,8 +271,8 @@
     return std::string(R"({"model": "guide", "stream": true, "max_tokens": 60,
       "messages": [{"role": "user", "content": "resume me"}]})");
   };
-  harness::EventStream First(With.m_Fleet.callers("r1"),
-                             "/v1/chat/completions", Headers, body());
+  harness::EventStream First(With.m_Fleet.callers("r1"), "/v1/chat/completions",
+                             Headers, body());
   std::string Text;
   std::string LastId;
   for (int I = 0; I < 10; ++I) {
@@ -282,14 +290,14 @@
   CHECK(Rest.m_Tokens == 50);
   Text += Rest.m_Text;
 
-  harness::EventStream Again(With.m_Fleet.callers("r2"),
-                             "/v1/chat/completions",
-                             [&] {
-                               auto Plain = With.m_Fleet.auth();
-                               Plain.push_back({"Idempotency-Key", "chat-7"});
-                               return Plain;
-                             }(),
-                             body());
+  harness::EventStream Again(
+      With.m_Fleet.callers("r2"), "/v1/chat/completions",
+      [&] {
+        auto Plain = With.m_Fleet.auth();
+        Plain.push_back({"Idempotency-Key", "chat-7"});
+        return Plain;
+      }(),
+      body());
   CHECK(harness::readStream(Again).m_Text == Text);
 }
 
@@ -298,9 +306,9 @@
   auto Headers = With.m_Fleet.auth();
   Headers.push_back({"Idempotency-Key", "chat-8"});
   Headers.push_back({"Last-Event-ID", "5:deadbeef"});
-  const auto Refused = harness::http(
-      "POST", With.m_Fleet.callers("r1"), "/v1/chat/completions", Headers,
-      Fleet::completion("p", 20, 3, true));
+  const auto Refused =
+      harness::http("POST", With.m_Fleet.callers("r1"), "/v1/chat/completions",
+                    Headers, Fleet::completion("p", 20, 3, true));
   CHECK(Refused.m_Status == 409);
   CHECK(net::findHeader(Refused.m_Headers, "Mimosadale-Reason") ==
         "resume_mismatch");
