--- a/packages/decide/membership.cpp
+++ b/packages/decide/membership.cpp
@@ -321,8 +321,7 @@
   Member &From = Found->second;
   From.m_PingedAt.reset();
   From.m_Missed = 0;
-  if (std::exchange(From.m_Unreachable, false))
-    changed();
+  reach(From.m_Record.data_centre());
   From.m_Record.set_generation(
       std::max(From.m_Record.generation(), Sender.generation()));
   if (alive(From)) {
@@ -336,6 +335,17 @@
   Out.push_back({Sender.address(), std::move(To)});
 }
 
+// A router of that data centre was heard, so the way there is open: the ones
+// taken for unreachable are tried again. Dead ones its own routers tell of.
+void Membership::reach(const std::string &Centre) {
+  for (auto &[Name, Each] : m_Members)
+    if (Each.m_Unreachable && Each.m_Record.data_centre() == Centre) {
+      Each.m_Unreachable = false;
+      Each.m_GoneAt.reset();
+      changed();
+    }
+}
+
 // Tells the sender of records that say less than the ones held here; without
 // it, a death that one side of a healed cut declared would never reach the side
 // that can refute it.
--- a/packages/decide/membership.h
+++ b/packages/decide/membership.h
@@ -135,6 +135,7 @@
   void pingSeeds(OutgoingMessages &Out);
   void checkSilence(Instant Now, OutgoingMessages &Out);
   void askConfirmation(const Member &Subject, OutgoingMessages &Out);
+  void reach(const std::string &Centre);
   void correct(const schema::PeerMessage &Message, OutgoingMessages &Out);
   void onAck(const schema::PeerMessage &Message, OutgoingMessages &Out);
   void onConfirmed(const std::string &Subject);
--- /dev/null
+++ b/tests/unit/decide_test.cpp
@@ -0,0 +1,332 @@
+// Tables of cases for the smaller decisions.
+#include "decide/admission.h"
+#include "decide/adoption.h"
+#include "decide/endpoint_health.h"
+#include "decide/host_list.h"
+#include "decide/path_chooser.h"
+#include "decide/refusal.h"
+#include "decide/rendezvous.h"
+#include "decide/replay_window.h"
+#include "decide/retry_budget.h"
+#include "decide/write_batcher.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <type_traits>
+
+using namespace mimosadale;
+using namespace mimosadale::decide;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant T0{std::chrono::seconds(1000)};
+
+EngineView engine(const std::string &Name, std::uint32_t First,
+                  std::uint32_t End, double Rate) {
+  return {EndpointId(Name), {First, End}, Rate, {}};
+}
+
+EngineLoad noLoad(const EndpointId &) { return {}; }
+
+} // namespace
+
+TEST_CASE("run state: not run can only be proved, never claimed") {
+  static_assert(!std::is_default_constructible_v<NotRunProof>);
+  RunTracker Run;
+  CHECK(Run.proof());
+  Run.beforeDispatch();
+  CHECK_FALSE(Run.proof());
+  Run.dispatchNeverSent();
+  CHECK(Run.proof());
+  Run.beforeDispatch();
+  Run.endpointSaidNotRun(false);
+  CHECK_FALSE(Run.proof());
+  Run.endpointSaidNotRun(true);
+  CHECK(Run.proof());
+  Run.beforeDispatch(); // this one may have run
+  Run.beforeDispatch();
+  Run.dispatchNeverSent(); // says nothing of the one before
+  CHECK_FALSE(Run.proof());
+  Run.ran();
+  CHECK(Refusal::of(Run, schema::NO_PATH, "").runState() == schema::RAN);
+}
+
+TEST_CASE("paths: tilings are exact") {
+  const auto path = [](std::vector<LayerRange> Ranges) {
+    Path Stages;
+    for (const LayerRange Each : Ranges)
+      Stages.push_back({EndpointId("e"), Each});
+    return Stages;
+  };
+  CHECK(tilesExactly(path({{0, 4}, {4, 8}}), 8));
+  CHECK_FALSE(tilesExactly(path({{0, 4}, {5, 8}}), 8)); // gap
+  CHECK_FALSE(tilesExactly(path({{0, 4}, {3, 8}}), 8)); // overlap
+  CHECK_FALSE(tilesExactly(path({{0, 4}}), 8));         // short
+  CHECK_FALSE(tilesExactly(path({{4, 8}, {0, 4}}), 8)); // order
+  CHECK_FALSE(tilesExactly(path({{0, 0}, {0, 8}}), 8)); // empty stage
+  CHECK_FALSE(tilesExactly(path({}), 0));
+}
+
+TEST_CASE("paths: property: what is chosen tiles the model") {
+  Random Rng(20261203);
+  for (int Round = 0; Round < 300; ++Round) {
+    std::vector<EngineView> Engines;
+    for (int I = 0; I < 20; ++I) {
+      const auto First = static_cast<std::uint32_t>(Rng() % 12);
+      const auto End = static_cast<std::uint32_t>(First + 1 + Rng() % 6);
+      Engines.push_back(engine("e" + std::to_string(I), First, End,
+                               static_cast<double>(Rng() % 500)));
+    }
+    const PathChooser Chooser(Engines, 12);
+    EndpointSet Avoid{EndpointId("e3"), EndpointId("e7")};
+    const auto Chosen = Chooser.choose(noLoad, Avoid, Rng);
+    if (!Chosen)
+      continue;
+    CHECK(tilesExactly(*Chosen, 12));
+    for (const StagePlan &Each : *Chosen)
+      CHECK_FALSE(Avoid.contains(Each.m_Endpoint));
+  }
+}
+
+TEST_CASE("paths: the maximum flow is the bound, and its shares are drawn") {
+  const PathChooser Chooser(
+      {engine("a", 0, 4, 300), engine("b", 0, 4, 100), engine("c", 4, 8, 500)},
+      8);
+  CHECK(Chooser.maximumFlow() == doctest::Approx(400));
+  CHECK(Chooser.flowOf(EndpointId("a")) == doctest::Approx(300));
+  CHECK(Chooser.flowOf(EndpointId("c")) == doctest::Approx(400));
+  Random Rng(7);
+  std::map<EndpointId, int> Taken;
+  // All queues grow alike, so only the shares decide.
+  const auto Even = [](const EndpointId &Name) {
+    EngineLoad Load;
+    Load.m_Queued = Name.str() == "a" ? 299 : 99;
+    return Load;
+  };
+  for (int I = 0; I < 4000; ++I)
+    ++Taken[Chooser.choose(Even, {}, Rng)->front().m_Endpoint];
+  CHECK(Taken[EndpointId("a")] > Taken[EndpointId("b")] * 2);
+}
+
+TEST_CASE("paths: a gap in the layers leaves no path") {
+  Random Rng(1);
+  const PathChooser Chooser({engine("a", 0, 4, 1), engine("c", 5, 8, 1)}, 8);
+  CHECK_FALSE(Chooser.choose(noLoad, {}, Rng));
+  CHECK(Chooser.maximumFlow() == 0);
+  CHECK_FALSE(Chooser.chooseReplacement({4, 8}, noLoad, {}));
+  CHECK(Chooser.chooseReplacement({5, 8}, noLoad, {}));
+}
+
+TEST_CASE("admission: places, queue, deadlines, early refusal") {
+  Admission Queue({2, 2});
+  const auto ask = [&](const char *Workspace, Duration Time,
+                       double Weight = 1) {
+    AdmissionRequest Request;
+    Request.m_Workspace = WorkspaceId(Workspace);
+    Request.m_Weight = Weight;
+    Request.m_Deadline = T0 + Time;
+    return Queue.offer(Request, T0);
+  };
+  using Kind = AdmissionVerdict::Kind;
+  CHECK(ask("a", 10s).m_Kind == Kind::Admitted);
+  CHECK(ask("a", 10s).m_Kind == Kind::Admitted);
+  const auto Late = ask("a", 9s);
+  const auto Early = ask("a", 5s);
+  CHECK(Late.m_Kind == Kind::Queued);
+  CHECK(Early.m_Kind == Kind::Queued);
+  const auto Full = ask("a", 10s);
+  CHECK(Full.m_Kind == Kind::Refused);
+  CHECK(Full.m_Reason == schema::OVERLOADED);
+  CHECK(Full.m_RetryAfter);
+  const auto Next = Queue.release(1s, T0);
+  REQUIRE(Next.m_Admitted.size() == 1);
+  CHECK(Next.m_Admitted[0] == Early.m_Ticket);
+  const auto Hopeless = ask("a", 500ms);
+  CHECK(Hopeless.m_Kind == Kind::Refused);
+  CHECK(Hopeless.m_Reason == schema::DEADLINE_UNREACHABLE);
+  const auto After = Queue.release(1s, T0 + 20s);
+  CHECK(After.m_Admitted.empty());
+  CHECK(After.m_Expired.size() == 1);
+  CHECK(ask("a", 0s).m_Reason == schema::DEADLINE_PASSED);
+}
+
+TEST_CASE("admission: workspaces share by weight, and none starves") {
+  Admission Queue({1, 1000});
+  std::map<Ticket, std::string> Owner;
+  const auto ask = [&](const char *Workspace, double Weight) {
+    AdmissionRequest Request;
+    Request.m_Workspace = WorkspaceId(Workspace);
+    Request.m_Weight = Weight;
+    Request.m_Deadline = T0 + 1h;
+    Owner[Queue.offer(Request, T0).m_Ticket] = Workspace;
+  };
+  ask("other", 1);
+  for (int I = 0; I < 400; ++I) {
+    ask("heavy", 3);
+    ask("light", 1);
+  }
+  std::map<std::string, int> Served;
+  for (int I = 0; I < 400; ++I)
+    for (const Ticket Each : Queue.release(1ms, T0).m_Admitted)
+      ++Served[Owner[Each]];
+  CHECK(Served["heavy"] >= 297);
+  CHECK(Served["heavy"] <= 303);
+  CHECK(Served["light"] >= 97);
+  CHECK(shareWeight(2, 3) == 16);
+}
+
+TEST_CASE("retry budget: a fraction of first tries above a reserve") {
+  RetryBudget Budget(0.1, 2);
+  CHECK(Budget.take());
+  CHECK(Budget.take());
+  CHECK_FALSE(Budget.take());
+  for (int I = 0; I < 11; ++I)
+    Budget.onFirstTry();
+  CHECK(Budget.take());
+  CHECK_FALSE(Budget.take());
+}
+
+TEST_CASE("write batcher: company, urgency, one of a key, outage") {
+  BatcherLimits Limits;
+  Limits.m_TransactionsPerSecond = 1000;
+  Limits.m_MostUrgent = 3;
+  WriteBatcher Batcher(Limits);
+  std::uint64_t Ticket = 0;
+  const auto add = [&](const char *Key, bool Urgent) {
+    return Batcher.add({++Ticket, Key, 0, "", Urgent, T0});
+  };
+  using Intake = WriteBatcher::Intake;
+  CHECK(add("a", false) == Intake::Queued);
+  CHECK(Batcher.take(T0).empty()); // waits for company
+  CHECK(Batcher.due(T0) == T0 + Limits.m_Window);
+  CHECK(add("b", true) == Intake::Queued);
+  CHECK(add("b", true) == Intake::Queued);
+  const auto First = Batcher.take(T0);
+  REQUIRE(First.size() == 2); // one write of a key
+  CHECK(First[0].m_Key == "b");
+  CHECK(First[1].m_Key == "a");
+  CHECK(Batcher.take(T0).empty()); // one transaction at a time
+  Batcher.onDone(false, T0);
+  CHECK(Batcher.down());
+  CHECK(add("c", true) == Intake::Down);
+  CHECK(add("c", false) == Intake::Queued);
+  CHECK(Batcher.take(T0).empty());
+  CHECK_FALSE(Batcher.take(T0 + Limits.m_OutagePause).empty());
+  Batcher.onDone(true, T0 + 1s);
+  CHECK(add("d", true) == Intake::Queued);
+  CHECK(add("e", true) == Intake::Queued);
+  CHECK(add("f", true) == Intake::Queued);
+  CHECK(add("g", true) == Intake::Limited);
+}
+
+TEST_CASE("write batcher: the rate bounds the transactions") {
+  BatcherLimits Limits;
+  Limits.m_TransactionsPerSecond = 100;
+  WriteBatcher Batcher(Limits);
+  unsigned Sent = 0;
+  for (int Ms = 0; Ms < 1000; ++Ms) {
+    const Instant Now = T0 + std::chrono::milliseconds(Ms);
+    Batcher.add(
+        {static_cast<std::uint64_t>(Ms), std::to_string(Ms), 0, "", true, Now});
+    if (Batcher.take(Now).empty())
+      continue;
+    ++Sent;
+    Batcher.onDone(true, Now);
+  }
+  CHECK(Sent <= 111);
+  CHECK(Sent >= 90);
+}
+
+TEST_CASE("host list: leaving is kept until a newer incarnation") {
+  HostList List;
+  const auto entry = [](bool Leaving, std::uint64_t Incarnation) {
+    schema::HostEntry Entry;
+    Entry.set_name("h");
+    Entry.set_leaving(Leaving);
+    Entry.set_incarnation(Incarnation);
+    return std::vector{Entry};
+  };
+  CHECK(List.onList(entry(false, 3)).empty());
+  CHECK(List.onList(entry(true, 3)).size() == 1);
+  CHECK(List.onList(entry(false, 3)).size() == 1); // the list went backwards
+  CHECK(List.onList({}).size() == 1);
+  CHECK(List.onList(entry(false, 4)).empty());
+  CHECK(List.onList(entry(true, 4)).size() == 1);
+}
+
+TEST_CASE("adoption: only greater generations; who looks often") {
+  Adoption Adopt(100ms);
+  CHECK(Adopt.onSeen(Generation{1}, true) == SeenGeneration::Fetch);
+  Adopt.onAdopted(Generation{3});
+  CHECK(Adopt.onSeen(Generation{3}, true) == SeenGeneration::Known);
+  CHECK(Adopt.onSeen(Generation{2}, true) == SeenGeneration::WentBack);
+  CHECK(Adopt.onSeen(Generation{2}, false) == SeenGeneration::Known);
+  unsigned Looks[2] = {0, 0};
+  Adoption Both[2] = {Adoption(100ms), Adoption(100ms)};
+  for (Adoption &Each : Both)
+    Each.onAdopted(Generation{1});
+  for (int Ms = 0; Ms < 10000; Ms += 50)
+    for (int I = 0; I < 2; ++I)
+      Looks[I] += Both[I].takeLook(I ? "b" : "a", {"a", "b"},
+                                   T0 + std::chrono::milliseconds(Ms));
+  CHECK(std::max(Looks[0], Looks[1]) >= 90);
+  CHECK(std::min(Looks[0], Looks[1]) <= 11);
+}
+
+TEST_CASE("endpoint health: suspicion, probes, leaving") {
+  EndpointHealth Health;
+  CHECK(Health.usable());
+  Health.onFault(false, T0);
+  CHECK(Health.state() == EndpointHealth::State::Suspect);
+  CHECK(Health.takeProbe(T0));
+  CHECK_FALSE(Health.takeProbe(T0));
+  Health.onProbe(true, nullptr, T0);
+  CHECK(Health.usable());
+  Health.onFault(true, T0);
+  CHECK(Health.state() == EndpointHealth::State::Dead);
+  Health.onProbe(true, nullptr, T0);
+  Health.setLeaving(LeaveSource::Operator, true);
+  Health.setLeaving(LeaveSource::HostList, true);
+  Health.setLeaving(LeaveSource::Operator, false);
+  CHECK_FALSE(Health.usable());
+  Health.setLeaving(LeaveSource::HostList, false);
+  CHECK(Health.usable());
+  schema::Load Load;
+  Load.set_leaving(true);
+  Health.onReply(1, 1ms, &Load, T0);
+  CHECK_FALSE(Health.usable());
+}
+
+TEST_CASE("endpoint health: the bound of silence follows the latency") {
+  EndpointHealth Health;
+  CHECK(Health.silentBound(1, 100, 10ms, 2s) == Duration(2s));
+  for (int I = 0; I < 100; ++I)
+    Health.onReply(1, 20ms, nullptr, T0);
+  const Duration Decode = Health.silentBound(1, 1000, 10ms, 2s);
+  CHECK(Decode < Duration(60ms));
+  CHECK(Health.silentBound(100, 1000, 10ms, 2s) > Decode + 300ms);
+}
+
+TEST_CASE("replay window: each message once") {
+  ReplayWindow Window;
+  CHECK(Window.accept(5, 10));
+  CHECK_FALSE(Window.accept(5, 10));
+  CHECK(Window.accept(5, 8));
+  CHECK_FALSE(Window.accept(5, 8));
+  CHECK(Window.accept(5, 200));
+  CHECK_FALSE(Window.accept(5, 10));
+  CHECK(Window.accept(6, 1));
+  CHECK_FALSE(Window.accept(5, 300));
+}
+
+TEST_CASE("rendezvous: a leaving moves only its own subjects") {
+  const std::vector<std::string> All{"a", "b", "c", "d"};
+  for (int I = 0; I < 200; ++I) {
+    const std::string Subject = std::to_string(I);
+    const auto Before = chooseMembers(All, Subject, 1).front();
+    const auto After = chooseMembers({"a", "b", "c"}, Subject, 1).front();
+    if (Before != "d")
+      CHECK(Before == After);
+  }
+}
--- /dev/null
+++ b/tests/unit/schema_test.cpp
@@ -0,0 +1,161 @@
+// Settings, declarations and inventories: every fault is named where it stands.
+#include "ctl/difference.h"
+#include "ctl/inventory.h"
+#include "router/completion_request.h"
+#include "schema/generated/settings.pb.h"
+#include "schema/toml.h"
+
+#include <doctest/doctest.h>
+#include <fstream>
+
+using namespace mimosadale;
+
+namespace {
+
+schema::ColumnMap columns() {
+  schema::ColumnMap Map;
+  Map.set_name("Asset");
+  Map.set_data_centre("Site");
+  Map.set_address("Address");
+  Map.set_kind("Type");
+  Map.set_model("Model");
+  Map.set_version("Version");
+  Map.set_first_layer("From");
+  Map.set_end_layer("To");
+  return Map;
+}
+
+const std::string Header = "Asset,Site,Address,Type,Model,Version,From,To\n";
+
+} // namespace
+
+TEST_CASE("TOML: bounds, types and fallbacks come from the schema") {
+  schema::LimitSettings Limits;
+  CHECK(schema::parseToml("f", "body_bytes = 2048", Limits).empty());
+  CHECK(Limits.body_bytes() == 2048);
+  CHECK(Limits.connections() == 4096);
+  struct Case {
+    std::string m_Text;
+    std::string m_Fault;
+  };
+  const Case Cases[] = {
+      {"body_bytes = 1", "f:1: body_bytes: allowed: a whole number from 1024"},
+      {"body_bytes = 2048.5", "allowed: a whole number"},
+      {"body_bytes = \"x\"", "allowed: a whole number"},
+      {"\nbody = 1", "f:2: body: unknown key; allowed: header_bytes"},
+      {"body_bytes = ", "f:1: "},
+      {"retry_fraction = 2", "allowed: a number from 0 to 1"}};
+  for (const Case &Each : Cases) {
+    INFO(Each.m_Text);
+    schema::LimitSettings Into;
+    const auto Faults = schema::parseToml("f", Each.m_Text, Into);
+    REQUIRE(Faults.size() == 1);
+    CHECK(schema::describeFaults(Faults).find(Each.m_Fault) !=
+          std::string::npos);
+  }
+}
+
+TEST_CASE("TOML: what is printed reads back the same, but for secrets") {
+  schema::PeerSettings Peers;
+  CHECK(schema::parseToml("f",
+                          "address = \"a\"\nseeds = [\"x\", \"y\"]\n"
+                          "[[keys]]\nid = 4\nsecret = \"hidden\"",
+                          Peers)
+            .empty());
+  const std::string Text = schema::printToml(Peers);
+  CHECK(Text.find("hidden") == std::string::npos);
+  schema::PeerSettings Again;
+  CHECK(schema::parseToml("f", Text, Again).empty());
+  Again.mutable_keys(0)->set_secret("hidden");
+  CHECK(Again.SerializeAsString() == Peers.SerializeAsString());
+}
+
+TEST_CASE("inventory: rows with faults are named by line") {
+  schema::Declaration Into;
+  const auto Faults = ctl::importInventory(
+      "r.csv",
+      Header + "e1,fukuoka,127.0.0.1:1,engine,guide,1,0,8\n"
+               "e2,fukuoka,nowhere,engine,guide,1,0,8\n"
+               "\"e\n3\",fukuoka,127.0.0.1:3,engine,guide,1,0,many\n"
+               "e1,,127.0.0.1:1,thing,,,,\n",
+      columns(), Into);
+  const std::string Text = schema::describeFaults(Faults);
+  INFO(Text);
+  CHECK(Text.find("r.csv:3: address: \"nowhere\" is not an address") !=
+        std::string::npos);
+  CHECK(Text.find("r.csv:4: end_layer: \"many\": allowed: a whole number") !=
+        std::string::npos);
+  CHECK(Text.find("r.csv:6: kind: \"thing\": allowed: engine, plain") !=
+        std::string::npos);
+  CHECK(Text.find("r.csv:6: data_centre") != std::string::npos);
+  CHECK(Text.find("r.csv:6: name: \"e1\" stands twice") != std::string::npos);
+}
+
+TEST_CASE("inventory: a column that is missing, a file that is no CSV") {
+  schema::Declaration Into;
+  CHECK(schema::describeFaults(
+            ctl::importInventory("r.csv", "Asset,Site\n", columns(), Into))
+            .find("there is no column \"Address\"") != std::string::npos);
+  CHECK_FALSE(ctl::importInventory("r.csv", Header + "\"open", columns(), Into)
+                  .empty());
+  CHECK_FALSE(ctl::importInventory("r.csv", "", columns(), Into).empty());
+}
+
+TEST_CASE("declarations: layers that no endpoints tile are found") {
+  schema::Declaration Declared;
+  auto &Model = *Declared.add_models();
+  Model.set_name("guide");
+  Model.set_version("1");
+  Model.set_layers(8);
+  const auto add = [&](const char *Name, std::uint32_t First,
+                       std::uint32_t End) {
+    auto &Each = *Declared.add_endpoints();
+    Each.set_name(Name);
+    Each.set_kind(schema::ENGINE);
+    Each.set_model("guide");
+    Each.set_version("1");
+    Each.set_first_layer(First);
+    Each.set_end_layer(End);
+  };
+  add("a", 0, 4);
+  CHECK(schema::describeFaults(ctl::crossCheck("f", Declared))
+            .find("no endpoints together hold all layers") !=
+        std::string::npos);
+  add("b", 4, 8);
+  CHECK(ctl::crossCheck("f", Declared).empty());
+  add("c", 4, 9);
+  CHECK_FALSE(ctl::crossCheck("f", Declared).empty());
+}
+
+TEST_CASE("the example of the repository is free of faults") {
+  const auto Loaded = ctl::loadDeclaration(std::string(MIMOSADALE_SOURCE) +
+                                           "/examples/hinokage.toml");
+  CHECK(schema::describeFaults(Loaded.m_Faults) == "");
+  CHECK(Loaded.m_Declaration.endpoints_size() == 8);
+}
+
+TEST_CASE("differences name the entry and never show a token's hash") {
+  schema::Declaration Before;
+  auto &Workspace = *Before.add_workspaces();
+  Workspace.set_name("counter");
+  Workspace.set_weight(1);
+  Workspace.set_token_sha256("0123456789abcdef");
+  schema::Declaration After = Before;
+  CHECK(ctl::describeDifference(Before, After) == "");
+  After.mutable_workspaces(0)->set_weight(4);
+  After.mutable_workspaces(0)->set_token_sha256("fedcba9876543210");
+  After.add_workspaces()->set_name("desk");
+  const std::string Text = ctl::describeDifference(Before, After);
+  INFO(Text);
+  CHECK(Text.find("weight: 1 -> 4") != std::string::npos);
+  CHECK(Text.find("desk") != std::string::npos);
+  CHECK(Text.find("0123456789abcdef") == std::string::npos);
+}
+
+TEST_CASE("event ids read back, and nothing else does") {
+  const auto Id = router::parseEventId(router::printEventId({300, 0xabcdef}));
+  CHECK(Id.m_Tokens == 300);
+  CHECK(Id.m_Hash == 0xabcdef);
+  for (const char *Wrong : {"", ":", "5", "5:", ":5", "g:1", "1:2:3", "-1:2"})
+    CHECK_THROWS(router::parseEventId(Wrong));
+}
