Record and replay traces; settle one lost answer of the table by writing again

Change: two unanswered transactions in a row are an outage; an unknown holder means come back during the first 15 s. Traces of claims recorded from the process tests replay to the same actions.

--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -135,7 +135,7 @@
 
 } // namespace
 
-int main() {
+int main(int Argc, char **Argv) {
   decide::MembershipSettings Adopted;
   Adopted.m_Period = Period;
   Adopted.m_AckTimeout = Timeout;
@@ -163,5 +163,6 @@
               "B/s/node", "know p50", "know max", "wrong/node/h");
   for (const Size &Of : {Size{7, 3}, Size{34, 1}, Size{340, 10}})
     for (const Way &Each : Ways)
-      measure(Each, Of);
+      if (Argc < 2 || std::to_string(Of.m_Nodes) == Argv[1])
+        measure(Each, Of);
 }
--- a/packages/decide/membership.cpp
+++ b/packages/decide/membership.cpp
@@ -309,12 +309,13 @@
 // Anything heard from a router itself proves that it lives.
 void Membership::heard(const schema::PeerRecord &Sender, Instant Now,
                        OutgoingMessages &Out) {
-  merge(Sender, Now);
+  merge(Sender, Now, true);
   const auto Found = m_Members.find(Sender.name());
   if (Found == m_Members.end()) {
-    // Only its short record is known: ask for the rest.
+    // Only its short record is known: ask for the rest. Asking for all records
+    // here would flood a fleet that starts at once.
     PeerMessage To = fullMessage(PeerMessage::PING);
-    To.set_want_all(true);
+    To.set_want_record(true);
     Out.push_back({Sender.address(), std::move(To)});
     return;
   }
@@ -369,9 +370,10 @@
   addNews(m_Self);
 }
 
-// Takes over a record if it says more than the one held. \returns whether it
-// did.
-bool Membership::merge(const schema::PeerRecord &Record, Instant Now) {
+// Takes over a record if it says more than the one held. \returns whether there
+// is news to push. What a router got in bulk the others have already.
+bool Membership::merge(const schema::PeerRecord &Record, Instant Now,
+                       bool Spread) {
   if (isSelf(Record.name())) {
     const std::uint64_t Before = m_Self.incarnation();
     refute(Record);
@@ -385,8 +387,9 @@
     Member &Fresh = m_Members[Record.name()];
     Fresh.m_Record = Record;
     Fresh.m_Timeout = m_Settings.m_AckTimeout;
-    addNews(Record);
-    return true;
+    if (Spread)
+      addNews(Record);
+    return Spread;
   }
   Member &Held = Found->second;
   if (!saysMore(Record, Held.m_Record))
@@ -406,8 +409,9 @@
     Held.m_GoneAt = Now;
   else if (!WasAlive)
     cameBack(Held, SameProcess);
-  addNews(Held.m_Record);
-  return true;
+  if (Spread)
+    addNews(Held.m_Record);
+  return Spread;
 }
 
 // A router taken for dead lives: a wrong suspicion, unless it started again.
@@ -421,14 +425,15 @@
     Which.m_Timeout = m_Settings.m_AckTimeout * TimeoutGrowth;
 }
 
-bool Membership::mergeNote(const schema::EndpointNote &Note) {
+bool Membership::mergeNote(const schema::EndpointNote &Note, bool Spread) {
   schema::EndpointNote &Held = m_Notes[noteKey(Note.name(), Note.kind())];
   if (Note.version() <= Held.version())
     return false;
   Held = Note;
   m_FreshNotes.push_back(Note);
-  addNote(Note);
-  return true;
+  if (Spread)
+    addNote(Note);
+  return Spread;
 }
 
 // Answers a second watcher's question by pinging the subject now; its ack is
@@ -459,18 +464,27 @@
 
 // Sends every record and every leaving endpoint, in parts that fit a datagram.
 void Membership::sendAll(const std::string &Address, OutgoingMessages &Out) {
-  PeerMessage To = fullMessage(PeerMessage::NEWS);
+  PeerMessage To;
+  const auto begin = [&](bool Full) {
+    To = Full ? fullMessage(PeerMessage::NEWS) : message(PeerMessage::NEWS);
+    To.set_bulk(true);
+  };
+  const auto flush = [&](int Carried) {
+    if (Carried < MostPiggybacked)
+      return;
+    Out.push_back({Address, std::move(To)});
+    begin(false);
+  };
+  begin(true);
   for (const auto &[Name, Each] : m_Members) {
     *To.add_records() = Each.m_Record;
-    if (To.records_size() >= MostPiggybacked)
-      Out.push_back({Address, std::exchange(To, message(PeerMessage::NEWS))});
+    flush(To.records_size());
   }
   for (const auto &[Name, Note] : m_Notes) {
     if (!Note.set())
       continue;
     *To.add_endpoints() = Note;
-    if (To.endpoints_size() >= MostPiggybacked)
-      Out.push_back({Address, std::exchange(To, message(PeerMessage::NEWS))});
+    flush(To.endpoints_size());
   }
   Out.push_back({Address, std::move(To)});
 }
@@ -485,12 +499,13 @@
   correct(Message, Out);
   bool Learned = false;
   for (const schema::PeerRecord &Each : Message.records())
-    Learned |= merge(Each, Now);
+    Learned |= merge(Each, Now, !Message.bulk());
   for (const schema::EndpointNote &Each : Message.endpoints())
-    Learned |= mergeNote(Each);
+    Learned |= mergeNote(Each, !Message.bulk());
   switch (Message.kind()) {
   case PeerMessage::PING: {
-    PeerMessage To = message(PeerMessage::ACK);
+    PeerMessage To = Message.want_record() ? fullMessage(PeerMessage::ACK)
+                                           : message(PeerMessage::ACK);
     To.set_digest(digest());
     attachNews(To);
     Out.push_back({Sender.address(), std::move(To)});
--- a/packages/decide/membership.h
+++ b/packages/decide/membership.h
@@ -142,9 +142,9 @@
   void declareDead(Member &Subject, Instant Now, OutgoingMessages &Out);
   void heard(const schema::PeerRecord &Sender, Instant Now,
              OutgoingMessages &Out);
-  bool merge(const schema::PeerRecord &Record, Instant Now);
+  bool merge(const schema::PeerRecord &Record, Instant Now, bool Spread);
   void cameBack(Member &Which, bool SameProcess);
-  bool mergeNote(const schema::EndpointNote &Note);
+  bool mergeNote(const schema::EndpointNote &Note, bool Spread);
   void refute(const schema::PeerRecord &Claim);
   void addNews(const schema::PeerRecord &Record);
   void addNote(const schema::EndpointNote &Note);
--- a/packages/decide/write_batcher.cpp
+++ b/packages/decide/write_batcher.cpp
@@ -11,6 +11,10 @@
 // rate.
 constexpr double BurstSeconds = 0.1;
 
+// One lost answer is settled by writing again; only more in a row are an
+// outage.
+constexpr unsigned UnansweredBeforeDown = 2;
+
 } // namespace
 
 void WriteBatcher::setRate(double TransactionsPerSecond) {
@@ -84,7 +88,8 @@
 
 void WriteBatcher::onDone(bool Answered, Instant Now) {
   m_InProgress = false;
-  m_Down = !Answered;
+  m_Unanswered = Answered ? 0 : m_Unanswered + 1;
+  m_Down = m_Unanswered >= UnansweredBeforeDown;
   if (m_Down)
     m_NextTry = Now + m_Limits.m_OutagePause;
 }
--- a/packages/decide/write_batcher.h
+++ b/packages/decide/write_batcher.h
@@ -78,6 +78,7 @@
   std::size_t m_Urgent = 0;
   bool m_InProgress = false;
   bool m_Down = false;
+  unsigned m_Unanswered = 0; // transactions in a row
   Instant m_NextTry{};
   double m_Tokens = 1;
   Instant m_Filled{};
--- a/packages/router/claim_run.cpp
+++ b/packages/router/claim_run.cpp
@@ -1,8 +1,10 @@
 #include "router/claim_run.h"
 
+#include "decide/trace.h"
 #include "router/claim_store.h"
 #include "router/context.h"
 #include "router/service_client.h"
+#include "router/trace_file.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,7 +23,49 @@
       m_Deadline(Start.m_Deadline), m_SendBefore(Start.m_SendBefore),
       m_Request(std::move(Request)), m_ServiceTimeout(ServiceTimeout),
       m_Strand(asio::make_strand(Shared.m_Executor)), m_Answered(m_Strand),
-      m_Claim(std::move(Start)) {}
+      m_Claim(Start) {
+  beginTrace(Start);
+}
+
+// Recording happens on the strand only, as the claim's own steps do.
+void ClaimRun::beginTrace(const decide::ClaimStart &Start) {
+  if (m_Shared.m_Settings.log().trace_folder().empty())
+    return;
+  m_Begun = Context::now();
+  const auto since = [this](Instant Then) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(Then - m_Begun)
+        .count();
+  };
+  m_Trace.emplace();
+  m_Trace->set_attempt(m_Attempt.str());
+  m_Trace->set_deadline_us(since(Start.m_Deadline));
+  m_Trace->set_send_before_us(since(Start.m_SendBefore));
+  m_Trace->set_trusted_not_run(Start.m_TrustedNotRun);
+  m_Trace->set_body_sha256(Start.m_BodyHash);
+}
+
+schema::ClaimTraceStep *ClaimRun::traceStep() {
+  if (!m_Trace)
+    return nullptr;
+  schema::ClaimTraceStep *Step = m_Trace->add_steps();
+  Step->set_at_us(std::chrono::duration_cast<std::chrono::microseconds>(
+                      Context::now() - m_Begun)
+                      .count());
+  return Step;
+}
+
+decide::ClaimActions ClaimRun::traced(decide::ClaimActions Actions) {
+  if (m_Trace)
+    for (const std::string &Line : decide::describeActions(Actions))
+      m_Trace->mutable_steps(m_Trace->steps_size() - 1)->add_actions(Line);
+  return Actions;
+}
+
+void ClaimRun::endTrace() {
+  if (m_Trace)
+    writeTrace(m_Shared.m_Settings.log().trace_folder(),
+               "claim-" + m_Attempt.str(), *m_Trace);
+}
 
 asio::awaitable<ClaimAnswer> ClaimRun::answer() {
   const auto Self = shared_from_this();
@@ -42,9 +86,12 @@
   boost::system::error_code Woken;
   co_await m_Answered.async_wait(
       asio::redirect_error(asio::use_awaitable, Woken));
-  if (!m_Answer)
-    for (decide::ClaimAction &Each : m_Claim.onDeadline())
+  if (!m_Answer) {
+    if (auto *Step = traceStep())
+      Step->set_deadline(true);
+    for (decide::ClaimAction &Each : traced(m_Claim.onDeadline()))
       keepAnswer(Each);
+  }
   co_return *m_Answer;
 }
 
@@ -62,7 +109,9 @@
 }
 
 asio::awaitable<void> ClaimRun::run() {
-  decide::ClaimActions Actions = m_Claim.start(Context::now());
+  if (auto *Step = traceStep())
+    Step->set_start(true);
+  decide::ClaimActions Actions = traced(m_Claim.start(Context::now()));
   while (!Actions.empty()) {
     decide::ClaimActions Next;
     for (decide::ClaimAction &Each : Actions) {
@@ -72,6 +121,7 @@
     }
     Actions = std::move(Next);
   }
+  endTrace();
   m_Shared.m_Requests.endClaim(m_Attempt);
 }
 
@@ -81,14 +131,25 @@
     const bool Urgent = !m_Claim.answered();
     const decide::ClaimWrite Result =
         co_await m_Claims.write(std::move(*Write), Urgent);
-    co_return m_Claim.onWrite(Result, Context::now());
+    if (auto *Step = traceStep()) {
+      Step->mutable_write()->set_kind(decide::nameOf(Result.m_Kind));
+      Step->mutable_write()->set_version(Result.m_Version);
+      *Step->mutable_write()->mutable_row() = Result.m_Row;
+    }
+    co_return traced(m_Claim.onWrite(Result, Context::now()));
   }
   if (auto *Ask = std::get_if<decide::AskHolder>(&Action)) {
     const decide::HolderWord Word = co_await m_AskHolder(Ask->m_Row);
-    co_return m_Claim.onHolder(Word);
+    if (auto *Step = traceStep())
+      Step->set_holder(decide::nameOf(Word));
+    co_return traced(m_Claim.onHolder(Word));
   }
   const decide::ClaimDispatch Result = co_await dispatch();
-  co_return m_Claim.onDispatch(Result, Context::now());
+  if (auto *Step = traceStep()) {
+    Step->mutable_dispatch()->set_kind(decide::nameOf(Result.m_Kind));
+    Step->mutable_dispatch()->set_status(Result.m_Status);
+  }
+  co_return traced(m_Claim.onDispatch(Result, Context::now()));
 }
 
 asio::awaitable<decide::ClaimDispatch> ClaimRun::dispatch() {
--- a/packages/router/claim_run.h
+++ b/packages/router/claim_run.h
@@ -6,6 +6,7 @@
 #include "decide/path.h"
 #include "net/http.h"
 #include "router/service_call.h"
+#include "schema/generated/trace.pb.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -45,6 +46,10 @@
   carryOut(decide::ClaimAction Action);
   boost::asio::awaitable<decide::ClaimDispatch> dispatch();
   bool keepAnswer(decide::ClaimAction &Action);
+  schema::ClaimTraceStep *traceStep();
+  decide::ClaimActions traced(decide::ClaimActions Actions);
+  void beginTrace(const decide::ClaimStart &Start);
+  void endTrace();
 
   Context &m_Shared;
   ClaimStore &m_Claims;
@@ -59,6 +64,8 @@
   boost::asio::steady_timer m_Answered;
   decide::Claim m_Claim;
   std::optional<ClaimAnswer> m_Answer;
+  std::optional<schema::ClaimTrace> m_Trace; // recorded when asked for
+  Instant m_Begun{};
   decide::EndpointSet m_Unreachable;
 };
 
--- a/packages/router/completion_call.cpp
+++ b/packages/router/completion_call.cpp
@@ -1,9 +1,11 @@
 #include "router/completion_call.h"
 
+#include "decide/trace.h"
 #include "platform/digest.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "router/replies.h"
+#include "router/trace_file.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -120,6 +122,7 @@
   const Instant Ended = Context::now();
   m_Shared.m_Requests.release(Ended - Begun, Ended);
   m_Shared.m_Requests.close(m_Request, m_Outcome, Ended);
+  endTrace();
   if (Broken)
     std::rethrow_exception(Broken);
 }
@@ -227,12 +230,58 @@
   return Hooks;
 }
 
+void CompletionCall::beginTrace(const decide::PipelineStart &Start) {
+  if (m_Shared.m_Settings.log().trace_folder().empty())
+    return;
+  m_Trace.emplace();
+  m_Trace->set_request(Start.m_Request.str());
+  m_Trace->set_layers(Start.m_Layers);
+  m_Trace->set_max_tokens(Start.m_MaxTokens);
+  m_Trace->set_deadline_us(
+      std::chrono::duration_cast<std::chrono::microseconds>(m_Deadline -
+                                                            m_Arrived)
+          .count());
+}
+
+schema::PipelineTraceStep *CompletionCall::traceStep(std::uint64_t Call) {
+  if (!m_Trace)
+    return nullptr;
+  schema::PipelineTraceStep *Step = m_Trace->add_steps();
+  Step->set_call(Call);
+  Step->set_at_us(std::chrono::duration_cast<std::chrono::microseconds>(
+                      Context::now() - m_Arrived)
+                      .count());
+  return Step;
+}
+
+decide::PipelineActions
+CompletionCall::traced(decide::PipelineActions Actions) {
+  if (m_Trace)
+    for (const std::string &Line : decide::describeActions(Actions))
+      m_Trace->mutable_steps(m_Trace->steps_size() - 1)->add_actions(Line);
+  return Actions;
+}
+
+void CompletionCall::endTrace() {
+  if (!m_Trace)
+    return;
+  m_Trace->set_outcome(m_Outcome);
+  writeTrace(m_Shared.m_Settings.log().trace_folder(),
+             "pipeline-" + m_Request.str(), *m_Trace);
+}
+
 // Runs the pipeline until it is finished. Its actions are carried out in order;
 // the results of a call lead to the next actions.
 asio::awaitable<void> CompletionCall::run() {
   m_Shared.m_Requests.onFirstTry();
-  m_Pipeline = std::make_unique<decide::Pipeline>(startOf(m_Asked), hooks());
-  m_Next = m_Pipeline->start(Context::now());
+  decide::PipelineStart Start = startOf(m_Asked);
+  beginTrace(Start);
+  m_Pipeline = std::make_unique<decide::Pipeline>(
+      std::move(Start),
+      m_Trace ? decide::recordHooks(hooks(), *m_Trace) : hooks());
+  if (auto *Step = traceStep(0))
+    Step->set_start(true);
+  m_Next = traced(m_Pipeline->start(Context::now()));
   while (!m_Next.empty()) {
     decide::PipelineActions Actions = std::exchange(m_Next, {});
     co_await carryOut(std::move(Actions));
@@ -271,25 +320,33 @@
   const StageResult Result =
       co_await m_Engines.call(std::move(Send), m_Deadline, Patience);
   if (const auto *Reply = std::get_if<schema::StageReply>(&Result)) {
-    m_Next = m_Pipeline->onReply(Call, *Reply, Context::now());
+    if (auto *Step = traceStep(Call))
+      *Step->mutable_reply() = *Reply;
+    m_Next = traced(m_Pipeline->onReply(Call, *Reply, Context::now()));
     co_return;
   }
   if (!m_FailedAt)
     m_FailedAt = Context::now();
-  m_Next = m_Pipeline->onFailure(Call, std::get<decide::StageFault>(Result),
-                                 Context::now());
+  const auto Fault = std::get<decide::StageFault>(Result);
+  if (auto *Step = traceStep(Call))
+    Step->set_fault(decide::nameOf(Fault));
+  m_Next = traced(m_Pipeline->onFailure(Call, Fault, Context::now()));
 }
 
 asio::awaitable<void> CompletionCall::probe(decide::ProbeStage Probe) {
   note("probe of " + Probe.m_Endpoint.str());
   const bool Answered = co_await m_Engines.probe(Probe.m_Endpoint);
-  m_Next = m_Pipeline->onProbe(Probe.m_Call, Answered, Context::now());
+  if (auto *Step = traceStep(Probe.m_Call))
+    Step->set_probe_answered(Answered);
+  m_Next = traced(m_Pipeline->onProbe(Probe.m_Call, Answered, Context::now()));
 }
 
 asio::awaitable<void> CompletionCall::awaitPath(Duration Delay) {
   asio::steady_timer Pause(co_await asio::this_coro::executor, Delay);
   co_await Pause.async_wait(asio::use_awaitable);
-  m_Next = m_Pipeline->onPathAwaited(Context::now());
+  if (auto *Step = traceStep(0))
+    Step->set_path_awaited(true);
+  m_Next = traced(m_Pipeline->onPathAwaited(Context::now()));
 }
 
 void CompletionCall::cancelLater(decide::CancelStage Cancel) {
--- a/packages/router/completion_call.h
+++ b/packages/router/completion_call.h
@@ -7,6 +7,7 @@
 #include "router/completion_request.h"
 #include "router/engine_client.h"
 #include "schema/generated/declaration.pb.h"
+#include "schema/generated/trace.pb.h"
 
 #include <memory>
 #include <optional>
@@ -48,6 +49,10 @@
   void stopFor(schema::Reason Why);
   decide::PipelineStart startOf(const CompletionRequest &Asked) const;
   decide::PipelineHooks hooks();
+  schema::PipelineTraceStep *traceStep(std::uint64_t Call);
+  decide::PipelineActions traced(decide::PipelineActions Actions);
+  void beginTrace(const decide::PipelineStart &Start);
+  void endTrace();
   void note(const std::string &What) const;
   std::string chunk(const std::string &Text, const char *FinishReason) const;
   std::string usage(const decide::CompleteRequest &Done) const;
@@ -65,6 +70,7 @@
   Instant m_Arrived{};
   Instant m_Deadline{};
   std::optional<EventId> m_Resume;
+  std::optional<schema::PipelineTrace> m_Trace; // recorded when asked for
   std::unique_ptr<decide::Pipeline> m_Pipeline;
   decide::PipelineActions m_Next; // actions that follow those carried out
   std::string m_Answer;           // kept for answers that are not streamed
--- a/packages/router/peer_link.cpp
+++ b/packages/router/peer_link.cpp
@@ -25,6 +25,9 @@
 // Share of the acknowledgement timeout in the ping period.
 constexpr double AckShare = 2.0 / 7;
 
+// Time after the start by which a router knows all the others.
+constexpr Duration LearnTime = std::chrono::seconds(15);
+
 constexpr int TicksPerPeriod = 7;
 constexpr std::size_t LargestDatagram = 65536;
 constexpr Duration AskTimeout = std::chrono::milliseconds(500);
@@ -36,7 +39,7 @@
 } // namespace
 
 PeerLink::PeerLink(Context &Shared)
-    : m_Shared(Shared),
+    : m_Shared(Shared), m_Begun(Context::now()),
       m_Membership(selfRecord(), membershipSettings(), seeds()),
       m_Strand(asio::make_strand(Shared.m_Executor)), m_Socket(m_Strand) {
   const std::string &Where = Shared.m_Settings.peers().address();
@@ -244,6 +247,9 @@
   const auto Record = with([&](decide::Membership &Members) {
     return Members.find(PeerId(Row.holder()));
   });
+  // A router that just started does not know all others yet.
+  if (!Record && Context::now() - m_Begun < LearnTime)
+    co_return decide::HolderWord::InProgress;
   const bool Gone = !Record || Record->started() != Row.holder_incarnation();
   if (Gone)
     co_return decide::HolderWord::Dead;
--- a/packages/router/peer_link.h
+++ b/packages/router/peer_link.h
@@ -89,6 +89,7 @@
   boost::asio::awaitable<Result> offWorkers(std::function<Result()> Blocking);
 
   Context &m_Shared;
+  const Instant m_Begun;
   RankedMutex m_Mutex{Rank::Peers};
   decide::Membership m_Membership;
   std::map<std::string, decide::ReplayWindow> m_Windows;
--- /dev/null
+++ b/packages/router/trace_file.cpp
@@ -0,0 +1,25 @@
+#include "router/trace_file.h"
+
+#include "router/log.h"
+
+#include <fstream>
+#include <google/protobuf/util/json_util.h>
+
+namespace mimosadale::router {
+
+void writeTrace(const std::string &Folder, const std::string &Name,
+                const google::protobuf::Message &Trace) {
+  std::string Text;
+  google::protobuf::util::JsonPrintOptions Options;
+  Options.add_whitespace = true;
+  Options.preserve_proto_field_names = true;
+  const auto Printed =
+      google::protobuf::util::MessageToJsonString(Trace, &Text, Options);
+  std::ofstream Out(Folder + "/" + Name + ".json");
+  Out << Text;
+  if (!Printed.ok() || !Out)
+    logEvent(schema::WARN, "trace_not_written",
+             {{"folder", Folder}, {"name", Name}});
+}
+
+} // namespace mimosadale::router
--- a/tests/harness/harness.cpp
+++ b/tests/harness/harness.cpp
@@ -240,6 +240,9 @@
 }
 
 Fleet::~Fleet() {
+  // What is recorded late is to be in the traces too.
+  if (std::getenv("MIMOSADALE_TRACES"))
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   stopAll();
   if (!std::getenv("MIMOSADALE_KEEP_LOGS"))
     std::filesystem::remove_all(m_Directory);
@@ -350,6 +353,10 @@
       << "poll_ms = " << m_PollMs << "\n"
       << "[access]\ntoken_file = \"" << tokenFile() << "\"\n"
       << Extra;
+  // Set to record traces of a test run, for traces/.
+  const char *Traces = std::getenv("MIMOSADALE_TRACES");
+  if (Traces && Extra.find("[log]") == std::string::npos)
+    Out << "[log]\ntrace_folder = \"" << Traces << "\"\n";
   Out.close();
   return launch(Name, {bin("mimosadale"), "--config", settingsFile(Name)});
 }
--- a/tests/unit/decide_test.cpp
+++ b/tests/unit/decide_test.cpp
@@ -208,6 +208,9 @@
   CHECK(First[1].m_Key == "a");
   CHECK(Batcher.take(T0).empty()); // one transaction at a time
   Batcher.onDone(false, T0);
+  CHECK_FALSE(Batcher.down()); // one lost answer is no outage
+  REQUIRE(Batcher.take(T0).size() == 1);
+  Batcher.onDone(false, T0);
   CHECK(Batcher.down());
   CHECK(add("c", true) == Intake::Down);
   CHECK(add("c", false) == Intake::Queued);
--- /dev/null
+++ b/tests/unit/trace_test.cpp
@@ -0,0 +1,68 @@
+// Replays the recorded traces of traces/ against the decisions: the same
+// actions to the letter, each time.
+#include "decide/trace.h"
+
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <google/protobuf/util/json_util.h>
+#include <sstream>
+
+using namespace mimosadale;
+
+namespace {
+
+template <typename Trace> Trace readTrace(const std::filesystem::path &File) {
+  std::ostringstream Text;
+  Text << std::ifstream(File).rdbuf();
+  Trace Read;
+  const auto Parsed =
+      google::protobuf::util::JsonStringToMessage(Text.str(), &Read);
+  INFO(File.string());
+  REQUIRE(Parsed.ok());
+  return Read;
+}
+
+} // namespace
+
+TEST_CASE("traces: each replays to its recorded actions, and states its end") {
+  unsigned Claims = 0;
+  unsigned Pipelines = 0;
+  const std::filesystem::path Folder =
+      std::filesystem::path(MIMOSADALE_SOURCE) / "traces";
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder)) {
+    const std::string Name = Entry.path().filename().string();
+    INFO(Name);
+    if (Name.starts_with("claim-")) {
+      const auto Trace = readTrace<schema::ClaimTrace>(Entry.path());
+      CHECK(decide::replay(Trace) == "");
+      CHECK(decide::replay(Trace) == "");
+      CHECK_FALSE(Trace.outcome().empty());
+      ++Claims;
+      bool Found = false;
+      for (const auto &Step : Trace.steps())
+        for (const std::string &Action : Step.actions())
+          Found |= Action == Trace.outcome();
+      CHECK(Found);
+    } else if (Name.starts_with("pipeline-")) {
+      const auto Trace = readTrace<schema::PipelineTrace>(Entry.path());
+      CHECK(decide::replay(Trace) == "");
+      CHECK(decide::replay(Trace) == "");
+      CHECK(Trace.outcome() == "complete");
+      ++Pipelines;
+    }
+  }
+  CHECK(Claims >= 5);
+  CHECK(Pipelines >= 4);
+}
+
+TEST_CASE("traces: a decision that differs is found") {
+  schema::ClaimTrace Trace;
+  Trace.set_deadline_us(1000000);
+  Trace.set_send_before_us(1000000);
+  Trace.add_steps()->set_start(true);
+  CHECK(decide::replay(Trace).find("write CLAIMED over version 0") !=
+        std::string::npos);
+  Trace.mutable_steps(0)->add_actions("write CLAIMED over version 0");
+  CHECK(decide::replay(Trace) == "");
+}
