--- a/packages/decide/membership.cpp
+++ b/packages/decide/membership.cpp
@@ -102,9 +102,9 @@
 // Whom this router pings: its successors, and its counterparts in other data
 // centres if it is a contact of its own.
 const std::vector<std::string> &Membership::watched() {
-  if (!m_Watched)
+  if (std::exchange(m_WatchedStale, false))
     m_Watched = computeWatched();
-  return *m_Watched;
+  return m_Watched;
 }
 
 std::vector<std::string> Membership::computeWatched() const {
@@ -128,7 +128,7 @@
 
 // The members changed: what is computed from them is out of date.
 void Membership::changed() {
-  m_Watched.reset();
+  m_WatchedStale = true;
   m_Digest.reset();
 }
 
@@ -201,8 +201,10 @@
   const auto Ring = ringAfterSelf(m_Self.data_centre());
   for (std::size_t Distance = 1; Distance <= Ring.size(); Distance *= 2)
     Targets.push_back(Ring[Distance - 1]);
-  for (const std::string &Name : watched())
-    if (!isHere(m_Members.at(Name)))
+  // The counterparts as of the last round: news comes in bursts, and computing
+  // them anew for each piece would cost more than the news.
+  for (const std::string &Name : m_Watched)
+    if (m_Members.contains(Name) && !isHere(m_Members.at(Name)))
       Targets.push_back(Name);
   for (const std::string &Name : Targets) {
     PeerMessage To = message(PeerMessage::NEWS);
@@ -265,6 +267,7 @@
       ping(Each, Now, Out);
     } else if (!isHere(Each)) {
       Each.m_Unreachable = true;
+      m_AnyUnreachable = true;
       changed();
       Each.m_GoneAt = Each.m_GoneAt.value_or(Now);
       Each.m_PingedAt.reset();
@@ -339,12 +342,19 @@
 // A router of that data centre was heard, so the way there is open: the ones
 // taken for unreachable are tried again. Dead ones its own routers tell of.
 void Membership::reach(const std::string &Centre) {
-  for (auto &[Name, Each] : m_Members)
-    if (Each.m_Unreachable && Each.m_Record.data_centre() == Centre) {
-      Each.m_Unreachable = false;
-      Each.m_GoneAt.reset();
-      changed();
+  if (!std::exchange(m_AnyUnreachable, false))
+    return;
+  for (auto &[Name, Each] : m_Members) {
+    if (!Each.m_Unreachable)
+      continue;
+    if (Each.m_Record.data_centre() != Centre) {
+      m_AnyUnreachable = true;
+      continue;
     }
+    Each.m_Unreachable = false;
+    Each.m_GoneAt.reset();
+    changed();
+  }
 }
 
 // Tells the sender of records that say less than the ones held here; without
--- a/packages/decide/membership.h
+++ b/packages/decide/membership.h
@@ -166,7 +166,9 @@
   std::vector<schema::EndpointNote> m_FreshNotes;
   std::vector<Helping> m_Helping;
   // Computed anew after a change of the members only.
-  std::optional<std::vector<std::string>> m_Watched;
+  std::vector<std::string> m_Watched;
+  bool m_WatchedStale = true;
+  bool m_AnyUnreachable = false;
   std::optional<std::uint64_t> m_Digest;
   std::uint64_t m_Sequence = 0;
   Instant m_NextPing{};
