--- a/packages/decide/trace.cpp
+++ b/packages/decide/trace.cpp
@@ -82,6 +82,7 @@
 template <typename Actions>
 std::vector<std::string> describeAll(const Actions &All) {
   std::vector<std::string> Lines;
+  Lines.reserve(All.size());
   for (const auto &Each : All)
     Lines.push_back(describe(Each));
   return Lines;
@@ -251,7 +252,7 @@
   Claim Own(std::move(Start));
   for (int I = 0; I < Trace.steps_size(); ++I) {
     const auto Now = describeActions(feed(Own, Trace.steps(I)));
-    const std::string Differs = compare(Trace.steps(I), I, Now);
+    std::string Differs = compare(Trace.steps(I), I, Now);
     if (!Differs.empty())
       return Differs;
   }
@@ -269,14 +270,15 @@
   for (int I = 0; I < Trace.steps_size(); ++I) {
     Choices.begin(Trace.steps(I));
     const auto Now = describeActions(feed(Own, Trace.steps(I)));
-    const std::string Differs = compare(Trace.steps(I), I, Now);
+    std::string Differs = compare(Trace.steps(I), I, Now);
     if (!Differs.empty())
       return Differs;
   }
   return "";
 }
 
-PipelineHooks recordHooks(PipelineHooks Real, schema::PipelineTrace &Into) {
+PipelineHooks recordHooks(const PipelineHooks &Real,
+                          schema::PipelineTrace &Into) {
   const auto choice = [&Into]() -> schema::TraceChoice & {
     return *Into.mutable_steps(Into.steps_size() - 1)->add_choices();
   };
--- a/packages/decide/trace.h
+++ b/packages/decide/trace.h
@@ -30,7 +30,8 @@
 
 /// The hooks of a pipeline, with their answers recorded in \p Into. \pre
 /// \p Into outlives the pipeline.
-PipelineHooks recordHooks(PipelineHooks Real, schema::PipelineTrace &Into);
+PipelineHooks recordHooks(const PipelineHooks &Real,
+                          schema::PipelineTrace &Into);
 
 } // namespace mimosadale::decide
 
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -32,14 +32,15 @@
 // Pause after a failed accept, for instance when no file descriptor is left.
 constexpr auto AcceptPause = std::chrono::milliseconds(20);
 
-http::response<http::string_body> toBeast(HttpResponse &&From, bool KeepAlive) {
+http::response<http::string_body> toBeast(const HttpResponse &From,
+                                          bool KeepAlive) {
   http::response<http::string_body> To;
   To.version(11);
   To.result(From.m_Status);
   for (const HttpHeader &Each : From.m_Headers)
     To.set(Each.m_Name, Each.m_Value);
   To.keep_alive(KeepAlive);
-  To.body() = std::move(From.m_Body);
+  To.body() = From.m_Body;
   To.prepare_payload();
   return To;
 }
@@ -64,7 +65,7 @@
 
   asio::awaitable<void> respond(HttpResponse Response) override {
     m_Started = true;
-    auto Message = toBeast(std::move(Response), m_KeepAlive);
+    auto Message = toBeast(Response, m_KeepAlive);
     try {
       arm();
       co_await http::async_write(m_Out, Message, asio::use_awaitable);
--- a/packages/router/claim_run.cpp
+++ b/packages/router/claim_run.cpp
@@ -16,7 +16,7 @@
 namespace asio = boost::asio;
 
 ClaimRun::ClaimRun(Context &Shared, ClaimStore &Claims,
-                   const HolderHook &AskHolder, decide::ClaimStart Start,
+                   const HolderHook &AskHolder, const decide::ClaimStart &Start,
                    net::HttpRequest Request, Duration ServiceTimeout)
     : m_Shared(Shared), m_Claims(Claims), m_AskHolder(AskHolder),
       m_Attempt(Start.m_Attempt), m_Service(Start.m_Service),
--- a/packages/router/claim_run.h
+++ b/packages/router/claim_run.h
@@ -32,7 +32,7 @@
 public:
   /// \pre \p Shared, \p Claims and \p AskHolder outlive this object.
   ClaimRun(Context &Shared, ClaimStore &Claims, const HolderHook &AskHolder,
-           decide::ClaimStart Start, net::HttpRequest Request,
+           const decide::ClaimStart &Start, net::HttpRequest Request,
            Duration ServiceTimeout);
 
   /// Starts the claim. \returns the caller's final answer, at its deadline at
