One source of random draws; the demo does not depend on who closes a pipe first

Seen as a risk: head ends before plan has printed all, and the pipe's status then ends the script. Ruled out: nothing else in the scripts pipes into head.

--- a/packages/router/completion_call.cpp
+++ b/packages/router/completion_call.cpp
@@ -15,7 +15,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <charconv>
-#include <random>
 
 namespace mimosadale::router {
 
@@ -24,12 +23,6 @@
 
 namespace {
 
-// Random draws of this thread. Decisions get them as an argument.
-decide::Random &threadRandom() {
-  thread_local decide::Random Rng(std::random_device{}());
-  return Rng;
-}
-
 std::string event(const std::string &Id, const std::string &Data) {
   return (Id.empty() ? "" : "id: " + Id + "\n") + "data: " + Data + "\n\n";
 }
@@ -178,7 +171,7 @@
   else if (!Key.empty())
     Start.m_Seed = seedOf(m_From.m_Workspace.name() + "\n" + Key);
   else
-    Start.m_Seed = threadRandom()();
+    Start.m_Seed = Context::random()();
   if (m_Resume)
     Start.m_Resume = decide::ResumePoint{m_Resume->m_Tokens, m_Resume->m_Hash};
   return Start;
@@ -203,7 +196,7 @@
     const auto Chooser = chooser();
     if (!Chooser)
       return std::nullopt;
-    auto Chosen = Chooser->choose(loads, Avoid, threadRandom());
+    auto Chosen = Chooser->choose(loads, Avoid, Context::random());
     m_Shared.m_Metrics.timed(Timing::Decision, Context::now() - Begun);
     note(Chosen ? "path " + pathText(*Chosen) : "no path");
     return Chosen;
--- a/packages/router/context.cpp
+++ b/packages/router/context.cpp
@@ -1,6 +1,7 @@
 #include "router/context.h"
 
 #include <charconv>
+#include <random>
 
 namespace mimosadale::router {
 
@@ -31,6 +32,11 @@
                 platformTimeout(m_Settings)),
       m_ConfigStore(m_Table, m_Objects) {}
 
+decide::Random &Context::random() {
+  thread_local decide::Random Rng(std::random_device{}());
+  return Rng;
+}
+
 std::string Context::uniqueName() {
   return m_Settings.name() + "-" + std::to_string(raw(m_Incarnation)) + "-" +
          std::to_string(++m_Names);
--- a/packages/router/context.h
+++ b/packages/router/context.h
@@ -32,6 +32,9 @@
   /// A new name, unique over all routers and restarts.
   std::string uniqueName();
 
+  /// Random draws of the calling thread; decisions get them as an argument.
+  static decide::Random &random();
+
   /// The monotonic clock that decisions are given. \pre None.
   static Instant now() { return std::chrono::steady_clock::now(); }
 
--- a/packages/router/service_client.cpp
+++ b/packages/router/service_client.cpp
@@ -2,8 +2,6 @@
 
 #include "router/context.h"
 
-#include <random>
-
 namespace mimosadale::router {
 
 namespace asio = boost::asio;
@@ -12,11 +10,6 @@
 
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
 
-decide::Random &threadRandom() {
-  thread_local decide::Random Rng(std::random_device{}());
-  return Rng;
-}
-
 decide::ClaimDispatch dispatchOf(net::HttpResponse Response) {
   decide::ClaimDispatch Dispatch;
   const bool NotRun =
@@ -39,7 +32,8 @@
   Try.m_Dispatch.m_Kind = decide::ClaimDispatch::Kind::NeverSent;
   std::string Where;
   m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
-    const auto Chosen = Directory.chooseService(Service, Avoid, threadRandom());
+    const auto Chosen =
+        Directory.chooseService(Service, Avoid, Context::random());
     if (!Chosen)
       return;
     Try.m_Endpoint = *Chosen;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -90,7 +90,7 @@
 }
 echo "== check, plan, apply"
 ctl check -d examples/hinokage.toml
-ctl plan -d examples/hinokage.toml | head -3
+ctl plan -d examples/hinokage.toml | sed -n 1,3p
 ctl apply -d examples/hinokage.toml --author demo --reason "first declaration"
 wait_for http://127.0.0.1:7101/readyz
 wait_for http://127.0.0.1:7102/readyz
