--- a/packages/ctl/claims.cpp
+++ b/packages/ctl/claims.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-schema::ClaimRow parseClaim(const platform::TableRow &Row) {
+schema::ClaimRow parseClaim(const store::TableRow &Row) {
   schema::ClaimRow Claim;
   if (!Claim.ParseFromString(Row.m_Value))
     throw Error("the row " + Row.m_Key + " is damaged");
@@ -63,7 +63,7 @@
   return ExitFine;
 }
 
-platform::TableRow readRow(const CommandLine &Line, Session &With) {
+store::TableRow readRow(const CommandLine &Line, Session &With) {
   if (Line.m_Arguments.size() < 2)
     throw UsageError("claims " + Line.m_Arguments[0] + ": allowed: a row");
   const auto Row = With.wait(With.table().read(Line.m_Arguments[1]));
@@ -73,7 +73,7 @@
 }
 
 int show(const CommandLine &Line, Session &With) {
-  const platform::TableRow Row = readRow(Line, With);
+  const store::TableRow Row = readRow(Line, With);
   const json::object Entry = describe(Row.m_Key, parseClaim(Row));
   if (Line.m_Json) {
     std::cout << json::serialize(Entry) << "\n";
@@ -92,7 +92,7 @@
     throw UsageError("claims settle: --author and --reason are needed");
   if (Line.m_Outcome != "ran" && Line.m_Outcome != "not-run")
     throw UsageError("--outcome: allowed: ran, not-run");
-  const platform::TableRow Row = readRow(Line, With);
+  const store::TableRow Row = readRow(Line, With);
   schema::ClaimRow Claim = parseClaim(Row);
   if (!needsHand(Claim)) {
     std::cerr << "the claim already has an outcome: "
@@ -105,7 +105,7 @@
   Claim.set_settled_reason(Line.m_Reason);
   const auto Result = With.wait(With.table().transact(
       {{Row.m_Key, Row.m_Version, Claim.SerializeAsString()}}));
-  using Kind = platform::TableResult::Kind;
+  using Kind = store::TableResult::Kind;
   if (Result.m_Kind == Kind::Committed) {
     std::cout << "settled as " << Line.m_Outcome << "\n";
     return ExitFine;
--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -4,7 +4,7 @@
 #include "ctl/difference.h"
 #include "ctl/inventory.h"
 #include "ctl/session.h"
-#include "platform/digest.h"
+#include "store/digest.h"
 #include "rpc/operator_caller.h"
 
 #include <algorithm>
@@ -52,7 +52,7 @@
 
 // The configuration in force, and its declaration.
 struct InForce {
-  platform::StoredGeneration m_Stored;
+  store::StoredGeneration m_Stored;
   schema::Declaration m_Declared;
 };
 
@@ -168,12 +168,12 @@
   }
   const auto Stands = With.wait(With.config().apply(
       Loaded.m_Declaration, Now.m_Stored, Line.m_Author, Line.m_Reason));
-  const auto Sections = platform::splitSections(Loaded.m_Declaration);
+  const auto Sections = store::splitSections(Loaded.m_Declaration);
   bool Ours = Stands.m_Row.author() == Line.m_Author &&
               Stands.m_Row.reason() == Line.m_Reason &&
               Stands.m_Row.generation() == Now.m_Stored.m_Row.generation() + 1;
   for (std::size_t I = 0; Ours && I < Sections.size(); ++I)
-    Ours = platform::sha256Hex(Sections[I]) ==
+    Ours = store::sha256Hex(Sections[I]) ==
            Stands.m_Row.sections(static_cast<int>(I));
   if (!Ours) {
     std::cerr << "another operator came first: generation "
@@ -245,7 +245,7 @@
     throw UsageError(Line.m_Command + ": allowed: one endpoint or host");
   if (Line.m_Author.empty() || Line.m_Reason.empty())
     throw UsageError(Line.m_Command + ": --author and --reason are needed");
-  const std::string Key = platform::DrainPrefix + Line.m_Arguments[0];
+  const std::string Key = store::DrainPrefix + Line.m_Arguments[0];
   const auto Standing = With.wait(With.table().read(Key));
   schema::DrainRow Row;
   Row.set_subject(Line.m_Arguments[0]);
@@ -254,7 +254,7 @@
   Row.set_reason(Line.m_Reason);
   const auto Result = With.wait(With.table().transact(
       {{Key, Standing ? Standing->m_Version : 0, Row.SerializeAsString()}}));
-  using Kind = platform::TableResult::Kind;
+  using Kind = store::TableResult::Kind;
   if (Result.m_Kind == Kind::Committed) {
     std::cout << Line.m_Command << " of " << Row.subject() << " accepted\n";
     return ExitFine;
@@ -303,7 +303,7 @@
   if (RAND_bytes(reinterpret_cast<unsigned char *>(Raw.data()),
                  static_cast<int>(Bytes)) != 1)
     throw Error("no random bytes can be had");
-  return platform::sha256Hex(Raw).substr(0, 2 * Bytes);
+  return store::sha256Hex(Raw).substr(0, 2 * Bytes);
 }
 
 // Makes a new token for a workspace; only its salted hash goes into the rules.
@@ -314,7 +314,7 @@
   const std::string Salt = randomText(8);
   std::cout << "token = \"" << Token << "\"\n"
             << "token_salt = \"" << Salt << "\"\n"
-            << "token_sha256 = \"" << platform::sha256Hex(Salt + Token)
+            << "token_sha256 = \"" << store::sha256Hex(Salt + Token)
             << "\"\n";
   return ExitFine;
 }
--- a/packages/ctl/session.cpp
+++ b/packages/ctl/session.cpp
@@ -29,18 +29,18 @@
     throw UsageError("--platform is needed for " + m_Line.m_Command);
   const net::Address Where = net::parseAddress(m_Line.m_Platform);
   m_Table =
-      std::make_unique<platform::TableClient>(m_Client, Where, PlatformTimeout);
-  m_Objects = std::make_unique<platform::ObjectClient>(m_Client, Where,
+      std::make_unique<store::TableClient>(m_Client, Where, PlatformTimeout);
+  m_Objects = std::make_unique<store::ObjectClient>(m_Client, Where,
                                                        PlatformTimeout);
-  m_Config = std::make_unique<platform::ConfigStore>(*m_Table, *m_Objects);
+  m_Config = std::make_unique<store::ConfigStore>(*m_Table, *m_Objects);
 }
 
-platform::TableClient &Session::table() {
+store::TableClient &Session::table() {
   needPlatform();
   return *m_Table;
 }
 
-platform::ConfigStore &Session::config() {
+store::ConfigStore &Session::config() {
   needPlatform();
   return *m_Config;
 }
--- a/packages/ctl/session.h
+++ b/packages/ctl/session.h
@@ -4,7 +4,7 @@
 
 #include "ctl/commands.h"
 #include "net/client.h"
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -35,8 +35,8 @@
   }
 
   /// \throws UsageError when the command line names no platform.
-  platform::TableClient &table();
-  platform::ConfigStore &config();
+  store::TableClient &table();
+  store::ConfigStore &config();
 
   /// Sends a JSON-RPC request to a router's operators' address. \throws Error.
   std::string callRouter(const std::string &Address, const std::string &Body);
@@ -47,9 +47,9 @@
   const CommandLine &m_Line;
   boost::asio::io_context m_Io;
   net::HttpClient m_Client;
-  std::unique_ptr<platform::TableClient> m_Table;
-  std::unique_ptr<platform::ObjectClient> m_Objects;
-  std::unique_ptr<platform::ConfigStore> m_Config;
+  std::unique_ptr<store::TableClient> m_Table;
+  std::unique_ptr<store::ObjectClient> m_Objects;
+  std::unique_ptr<store::ConfigStore> m_Config;
 };
 
 } // namespace mimosadale::ctl
--- /dev/null
+++ b/packages/decide/chain_router.cpp
@@ -0,0 +1,164 @@
+#include "decide/chain_router.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace mimosadale::decide {
+
+namespace {
+
+constexpr unsigned NoPath = std::numeric_limits<unsigned>::max();
+
+// Part of a chain's room that a chain of another data centre must be emptier
+// by, since the caller's bytes then cross between data centres.
+constexpr double CrossingPenalty = 0.05;
+
+using Candidates = std::vector<const FleetEndpoint *>;
+
+// The tiling of [0, Layers) with the fewest stages.
+Path fewestStages(const Candidates &From, std::uint32_t Layers) {
+  std::vector<unsigned> Stages(Layers + 1, NoPath);
+  std::vector<StagePlan> Last(Layers + 1);
+  Stages[0] = 0;
+  for (std::uint32_t At = 0; At < Layers; ++At) {
+    if (Stages[At] == NoPath)
+      continue;
+    for (const FleetEndpoint *Each : From) {
+      const LayerRange Held = Each->m_Record.m_Layers;
+      const std::uint32_t End = std::min(Held.m_End, Layers);
+      if (Held.m_First > At || End <= At || Stages[At] + 1 >= Stages[End])
+        continue;
+      Stages[End] = Stages[At] + 1;
+      Last[End] = {Each->m_Record.m_Id, {At, End}};
+    }
+  }
+  Path Found;
+  if (Stages[Layers] == NoPath)
+    return Found;
+  for (std::uint32_t At = Layers; At > 0; At = Last[At].m_Layers.m_First)
+    Found.push_back(Last[At]);
+  std::reverse(Found.begin(), Found.end());
+  return Found;
+}
+
+void dropUsed(Candidates &From, const Path &Used) {
+  std::erase_if(From, [&](const FleetEndpoint *Each) {
+    return std::any_of(Used.begin(), Used.end(), [&](const StagePlan &Stage) {
+      return Stage.m_Endpoint == Each->m_Record.m_Id;
+    });
+  });
+}
+
+bool touches(const Path &Stages, const EndpointSet &Avoid) {
+  return std::any_of(Stages.begin(), Stages.end(), [&](const StagePlan &Each) {
+    return Avoid.contains(Each.m_Endpoint);
+  });
+}
+
+} // namespace
+
+double kvRoom(const EngineModel &Model, const std::string &Accelerator,
+              std::uint32_t Layers) {
+  const auto Kind = Model.m_Kinds.find(Accelerator);
+  if (Kind == Model.m_Kinds.end() || Model.m_KvBytesPerToken <= 0)
+    return 0;
+  const double FreeBytes =
+      (Kind->second.m_MemoryMb - Layers * Model.m_LayerMb) * 1e6;
+  return FreeBytes / (Model.m_KvBytesPerToken / Model.m_Layers);
+}
+
+void ChainRouter::rebuild(const Fleet &Engines, const ServiceId &Service,
+                          const EngineModel &Model) {
+  m_Model = Model;
+  m_Chains.clear();
+  std::map<DataCentreId, Candidates> ByDataCentre;
+  Candidates All;
+  for (const auto &[Id, Known] : Engines.all()) {
+    const LayerRange Held = Known.m_Record.m_Layers;
+    if (Known.m_Record.m_Service != Service || !Known.usable() ||
+        Held.m_First >= Held.m_End)
+      continue;
+    ByDataCentre[Known.m_Record.m_DataCentre].push_back(&Known);
+    All.push_back(&Known);
+  }
+  const auto Add = [&](Path Stages) {
+    Chain Fresh;
+    Fresh.m_DataCentre =
+        Engines.find(Stages.front().m_Endpoint)->m_Record.m_DataCentre;
+    Fresh.m_RoomTokens = std::numeric_limits<double>::max();
+    for (const StagePlan &Each : Stages) {
+      const EndpointRecord &Record = Engines.find(Each.m_Endpoint)->m_Record;
+      Fresh.m_Crosses |= Record.m_DataCentre != Fresh.m_DataCentre;
+      const std::uint32_t Held =
+          Record.m_Layers.m_End - Record.m_Layers.m_First;
+      const std::uint32_t Used = Each.m_Layers.m_End - Each.m_Layers.m_First;
+      const double Room = kvRoom(Model, Record.m_Accelerator, Held) / Used;
+      if (Room < Fresh.m_RoomTokens) {
+        Fresh.m_RoomTokens = Room;
+        Fresh.m_Tightest = Each.m_Endpoint;
+      }
+    }
+    Fresh.m_Stages = std::move(Stages);
+    m_Chains.push_back(std::move(Fresh));
+  };
+  for (auto &[DataCentre, Left] : ByDataCentre) {
+    while (true) {
+      Path Stages = fewestStages(Left, Model.m_Layers);
+      if (Stages.empty())
+        break;
+      dropUsed(Left, Stages);
+      Add(std::move(Stages));
+    }
+  }
+  if (m_Chains.empty())
+    if (Path Stages = fewestStages(All, Model.m_Layers); !Stages.empty())
+      Add(std::move(Stages));
+}
+
+double ChainRouter::fill(const Fleet &Engines, const Chain &Of) const {
+  double Most = 0;
+  for (const StagePlan &Each : Of.m_Stages) {
+    const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
+    if (!Known)
+      return 1;
+    const LayerRange Held = Known->m_Record.m_Layers;
+    const double Room =
+        kvRoom(m_Model, Known->m_Record.m_Accelerator, Held.m_End - Held.m_First);
+    const double Reported =
+        Known->m_Load ? Known->m_Load->m_KvUsed + Known->m_KvSinceReport : 0;
+    const double Used = std::max(Reported, Known->m_KvInFlight);
+    Most = std::max(Most, Room > 0 ? Used / Room : 1);
+  }
+  return Most;
+}
+
+const Chain *ChainRouter::choose(const Fleet &Engines, const RequestSize &Size,
+                                 const DataCentreId &Here,
+                                 const EndpointSet &Avoid, Random &Rng) const {
+  struct Option {
+    const Chain *m_Chain;
+    double m_Fill;
+  };
+  std::vector<Option> Options;
+  std::vector<double> Free;
+  for (const Chain &Each : m_Chains) {
+    if (touches(Each.m_Stages, Avoid) || Size.tokens() > Each.m_RoomTokens)
+      continue;
+    double Fill = fill(Engines, Each);
+    Options.push_back({&Each, Fill});
+    Free.push_back(std::max(0.01, 1 - Fill) * Each.m_RoomTokens);
+  }
+  if (Options.empty())
+    return nullptr;
+  std::discrete_distribution<std::size_t> Draw(Free.begin(), Free.end());
+  const auto Cost = [&](const Option &Each) {
+    return Each.m_Fill +
+           (Each.m_Chain->m_DataCentre == Here ? 0 : CrossingPenalty);
+  };
+  const Option &First = Options[Draw(Rng)];
+  const Option &Second = Options[Draw(Rng)];
+  return Cost(Second) < Cost(First) ? Second.m_Chain : First.m_Chain;
+}
+
+} // namespace mimosadale::decide
--- /dev/null
+++ b/packages/decide/chain_router.h
@@ -0,0 +1,65 @@
+// Paths of requests over chained engines, and how full each of them is.
+#ifndef MIMOSADALE_DECIDE_CHAIN_ROUTER_H
+#define MIMOSADALE_DECIDE_CHAIN_ROUTER_H
+
+#include "decide/fleet.h"
+#include "decide/path_chooser.h"
+#include "decide/routing.h"
+
+namespace mimosadale::decide {
+
+/// A path whose stages tile the model; most lie within one data centre.
+struct Chain {
+  Path m_Stages;
+  DataCentreId m_DataCentre; // of the first stage
+  bool m_Crosses = false;    // some hop leaves the data centre
+  double m_RoomTokens = 0;   // tokens that its tightest stage can hold
+  EndpointId m_Tightest;     // the engine of that stage
+};
+
+/// Size of one request, in tokens.
+struct RequestSize {
+  double m_Prompt = 0;
+  double m_MostAnswer = 0;
+  double m_LikelyAnswer = 0;
+
+  double tokens() const { return m_Prompt + m_LikelyAnswer; }
+};
+
+/// Chooses among the chains of one service. Chains are built anew whenever the
+/// fleet changes: within a data centre as many as there are disjoint tilings,
+/// and one across data centres only when no data centre has a whole one.
+///
+/// \par Thread safety
+/// None.
+class ChainRouter {
+public:
+  /// Builds the chains from the usable engines of \p Service.
+  void rebuild(const Fleet &Engines, const ServiceId &Service,
+               const EngineModel &Model);
+
+  /// The chain for a request of \p Size, without the engines of \p Avoid; none
+  /// when no whole chain is left. Of two drawn by their free room the emptier
+  /// one is taken, so that routers with equally old reports spread out.
+  const Chain *choose(const Fleet &Engines, const RequestSize &Size,
+                      const DataCentreId &Here, const EndpointSet &Avoid,
+                      Random &Rng) const;
+
+  /// The part of the tightest stage of \p Of that is taken, 1 for full.
+  double fill(const Fleet &Engines, const Chain &Of) const;
+
+  const std::vector<Chain> &chains() const { return m_Chains; }
+
+private:
+  std::vector<Chain> m_Chains;
+  EngineModel m_Model;
+};
+
+/// Tokens times layers that an engine with \p Accelerator can hold beside
+/// \p Layers layers. Safe from any thread.
+double kvRoom(const EngineModel &Model, const std::string &Accelerator,
+              std::uint32_t Layers);
+
+} // namespace mimosadale::decide
+
+#endif
--- /dev/null
+++ b/packages/decide/fleet.cpp
@@ -0,0 +1,114 @@
+#include "decide/fleet.h"
+
+#include <set>
+
+namespace mimosadale::decide {
+
+namespace {
+
+bool samePlace(const EndpointRecord &A, const EndpointRecord &B) {
+  return A.m_Service == B.m_Service && A.m_Address == B.m_Address &&
+         A.m_Leaving == B.m_Leaving && A.m_Layers == B.m_Layers &&
+         A.m_StartedMs == B.m_StartedMs;
+}
+
+} // namespace
+
+void Fleet::put(const EndpointRecord &Record) {
+  FleetEndpoint &Known = m_All[Record.m_Id];
+  const bool Restarted = Known.m_Record.m_StartedMs != 0 &&
+                         Record.m_StartedMs > Known.m_Record.m_StartedMs;
+  if (Restarted)
+    Known = FleetEndpoint{};
+  if (samePlace(Known.m_Record, Record))
+    return;
+  Known.m_Record = Record;
+  ++m_Revision;
+}
+
+void Fleet::remove(const EndpointId &Id) {
+  if (m_All.erase(Id) > 0)
+    ++m_Revision;
+}
+
+void Fleet::replaceAll(const std::vector<EndpointRecord> &Records) {
+  std::set<EndpointId> Listed;
+  for (const EndpointRecord &Each : Records) {
+    Listed.insert(Each.m_Id);
+    put(Each);
+  }
+  std::vector<EndpointId> Gone;
+  for (const auto &[Id, Known] : m_All)
+    if (!Listed.contains(Id))
+      Gone.push_back(Id);
+  for (const EndpointId &Each : Gone)
+    remove(Each);
+}
+
+bool Fleet::suspect(const EndpointId &Id, const std::string &Why, Instant Now) {
+  const auto Found = m_All.find(Id);
+  if (Found == m_All.end() || Found->second.m_Suspect)
+    return false;
+  Found->second.m_Suspect = true;
+  Found->second.m_SuspectSince = Now;
+  Found->second.m_SuspectReason = Why;
+  ++m_Revision;
+  return true;
+}
+
+bool Fleet::clear(const EndpointId &Id) {
+  const auto Found = m_All.find(Id);
+  if (Found == m_All.end())
+    return false;
+  Found->second.m_Faults = 0;
+  if (!Found->second.m_Suspect)
+    return false;
+  Found->second.m_Suspect = false;
+  ++m_Revision;
+  return true;
+}
+
+void Fleet::onReport(const EndpointId &Id, LayerRange Layers,
+                     const EngineLoadReport &Load, Instant Now) {
+  const auto Found = m_All.find(Id);
+  if (Found == m_All.end())
+    return;
+  FleetEndpoint &Known = Found->second;
+  Known.m_Load = Load;
+  Known.m_LoadAt = Now;
+  Known.m_KvSinceReport = 0;
+  if (Known.m_Record.m_Layers != Layers) {
+    Known.m_Record.m_Layers = Layers;
+    ++m_Revision;
+  }
+}
+
+void Fleet::countFirstStage(const EndpointId &Id, int Change) {
+  const auto Found = m_All.find(Id);
+  if (Found != m_All.end())
+    Found->second.m_InFlight = static_cast<unsigned>(
+        std::max(0, static_cast<int>(Found->second.m_InFlight) + Change));
+}
+
+void Fleet::countMemory(const EndpointId &Id, double Kv) {
+  const auto Found = m_All.find(Id);
+  if (Found == m_All.end())
+    return;
+  Found->second.m_KvInFlight = std::max(0.0, Found->second.m_KvInFlight + Kv);
+  if (Kv > 0)
+    Found->second.m_KvSinceReport += Kv;
+}
+
+const FleetEndpoint *Fleet::find(const EndpointId &Id) const {
+  const auto Found = m_All.find(Id);
+  return Found == m_All.end() ? nullptr : &Found->second;
+}
+
+const FleetEndpoint *Fleet::findByAddress(const std::string &Address) const {
+  for (const auto &[Id, Known] : m_All)
+    if (Known.m_Record.m_Address == Address)
+      return &Known;
+  return nullptr;
+}
+
+} // namespace mimosadale::decide
--- /dev/null
+++ b/packages/decide/fleet.h
@@ -0,0 +1,101 @@
+// The endpoints of all services, as registered and as experienced.
+#ifndef MIMOSADALE_DECIDE_FLEET_H
+#define MIMOSADALE_DECIDE_FLEET_H
+
+#include "base/id.h"
+#include "base/units.h"
+#include "decide/path.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosadale::decide {
+
+/// What an endpoint says of itself in the registry or in its report.
+struct EndpointRecord {
+  EndpointId m_Id;
+  ServiceId m_Service;
+  std::string m_Address; // ip:port
+  DataCentreId m_DataCentre;
+  bool m_Leaving = false;
+  unsigned m_Slots = 0;
+  std::string m_Accelerator; // kind; empty for plain services
+  LayerRange m_Layers;       // held now; empty for plain services
+  std::uint64_t m_StartedMs = 0; // Unix time of its start; 0 when not told
+};
+
+/// Load of an engine as it reported it.
+struct EngineLoadReport {
+  double m_KvUsed = 0;  // tokens times layers
+  double m_KvTotal = 0; // tokens times layers
+  unsigned m_Queued = 0;
+  unsigned m_Running = 0;
+  double m_Slowdown = 1; // over 1: slower than its kind
+};
+
+/// One endpoint with what this router believes of it.
+struct FleetEndpoint {
+  EndpointRecord m_Record;
+  bool m_Suspect = false;
+  Instant m_SuspectSince{};
+  std::string m_SuspectReason;
+  unsigned m_Faults = 0;      // in a row
+  unsigned m_InFlight = 0;    // requests of this router, as first stage
+  double m_KvInFlight = 0;    // tokens times layers, of this router
+  double m_KvSinceReport = 0; // sent by this router since the last report
+  std::optional<EngineLoadReport> m_Load;
+  Instant m_LoadAt{};
+
+  bool usable() const { return !m_Suspect && !m_Record.m_Leaving; }
+};
+
+/// Endpoints by id. Every change that bears on paths raises the revision.
+///
+/// \par Thread safety
+/// None.
+class Fleet {
+public:
+  /// Takes the registry's word. A later start under the same id forgets what
+  /// was believed before.
+  void put(const EndpointRecord &Record);
+
+  /// The registry dropped \p Id: it gets nothing more.
+  void remove(const EndpointId &Id);
+
+  /// Replaces the whole registry view; what is not listed is removed.
+  void replaceAll(const std::vector<EndpointRecord> &Records);
+
+  /// Distrusts \p Id until `clear`. \returns whether that is news.
+  bool suspect(const EndpointId &Id, const std::string &Why, Instant Now);
+
+  /// Trusts \p Id again: it answered a probe. \returns whether that is news.
+  bool clear(const EndpointId &Id);
+
+  /// Takes the layers and load that \p Id itself reported.
+  void onReport(const EndpointId &Id, LayerRange Layers,
+                const EngineLoadReport &Load, Instant Now);
+
+  /// Counts a request of this router in or out; \p Kv in tokens times layers.
+  void countFirstStage(const EndpointId &Id, int Change);
+  void countMemory(const EndpointId &Id, double Kv);
+
+  const FleetEndpoint *find(const EndpointId &Id) const;
+
+  /// The endpoint that listens on \p Address, or null.
+  const FleetEndpoint *findByAddress(const std::string &Address) const;
+
+  const std::map<EndpointId, FleetEndpoint> &all() const { return m_All; }
+
+  /// Rises with each change of members, layers or trust.
+  std::uint64_t revision() const { return m_Revision; }
+
+private:
+  std::map<EndpointId, FleetEndpoint> m_All;
+  std::uint64_t m_Revision = 1;
+};
+
+} // namespace mimosadale::decide
+
+#endif
--- /dev/null
+++ b/packages/decide/forward_run.h
@@ -0,0 +1,111 @@
+// The life cycle of one forwarded request, from its header to its last byte.
+#ifndef MIMOSADALE_DECIDE_FORWARD_RUN_H
+#define MIMOSADALE_DECIDE_FORWARD_RUN_H
+
+#include "decide/path.h"
+#include "decide/refusal.h"
+#include "decide/routing.h"
+
+#include <functional>
+#include <set>
+#include <variant>
+
+namespace mimosadale::decide {
+
+struct ForwardStart {
+  CallKind m_Kind = CallKind::AtMostOnce;
+  bool m_Resumable = false;
+  unsigned m_MaxEndpoints = 1;
+  Instant m_Deadline{}; // when the caller stops waiting
+  Instant m_Timeout{};  // when the route's time-out has passed
+};
+
+/// How one send ended without a whole answer.
+enum class SendFault {
+  NotSent,   // no connection: no byte left
+  SaidNotRun, // the endpoint said that it has not run it
+  Failed,    // the endpoint's own failure answer, which counts as run
+  Broken,    // the connection broke
+  Stalled    // given up here, because the endpoint or its path is lost
+};
+
+/// Send it once more, to an endpoint outside `avoided`.
+struct SendAgain {
+  schema::RetryReason m_Why = schema::RETRY_UNSPECIFIED;
+};
+
+/// Give the caller this final answer, now.
+struct RefuseForward {
+  Refusal m_Refusal;
+};
+
+/// Pass on the endpoint's own failure answer.
+struct PassOnFailure {};
+
+/// Part of the answer is out: end the connection so that it is seen cut off.
+struct CutOff {
+  schema::Reason m_Why = schema::REASON_UNSPECIFIED;
+};
+
+using ForwardStep =
+    std::variant<SendAgain, RefuseForward, PassOnFailure, CutOff>;
+
+/// Takes one retry from the budget that the routers share.
+using TakeRetry = std::function<bool()>;
+
+/// Decides after each failure whether a request is sent again, refused or cut
+/// off. What may not be repeated is sent again only while it is proved not to
+/// have run; a stream that may be resumed goes on after its last whole event.
+///
+/// \par Thread safety
+/// None; owned by one coroutine.
+class ForwardRun {
+public:
+  explicit ForwardRun(ForwardStart Start) : m_Start(Start) {}
+
+  /// \p Endpoint is about to be sent the request. \pre Before the first write.
+  void beforeSend(const EndpointId &Endpoint);
+
+  /// The head of the answer went to the caller.
+  void onHeadDelivered() { m_HeadDelivered = true; }
+
+  /// The endpoint of the present send has ended or was cut off: it no longer
+  /// counts against the endpoints that a request may be sent to.
+  void onEndpointGone(const EndpointId &Endpoint) { m_Tried.erase(Endpoint); }
+
+  /// The present send failed. \param Lost engines that the next path avoids.
+  ForwardStep onFault(SendFault How, const EndpointSet &Lost, Instant Now,
+                      const TakeRetry &Budget);
+
+  /// No endpoint can take the request now.
+  ForwardStep onNoEndpoint(schema::Reason Why, Duration RetryAfter);
+
+  /// The route's time-out or the caller's deadline has passed.
+  ForwardStep onTimeout() const;
+
+  /// Engines that this request must not be sent to again.
+  const EndpointSet &avoided() const { return m_Avoided; }
+
+  /// The time after which nothing helps the caller any more.
+  Instant end() const { return std::min(m_Start.m_Deadline, m_Start.m_Timeout); }
+
+  bool headDelivered() const { return m_HeadDelivered; }
+  unsigned sends() const { return m_Sends; }
+  schema::RunState runState() const { return m_Run.state(); }
+
+private:
+  bool repeatable() const;
+  ForwardStep giveUp(SendFault How) const;
+
+  ForwardStart m_Start;
+  RunTracker m_Run;
+  EndpointSet m_Avoided;
+  EndpointSet m_Tried; // distinct endpoints that may have begun to run it
+  EndpointId m_Current;
+  bool m_HeadDelivered = false;
+  unsigned m_Sends = 0;
+};
+
+} // namespace mimosadale::decide
+
+#endif
--- /dev/null
+++ b/packages/decide/layer_orders.cpp
@@ -0,0 +1,78 @@
+#include "decide/layer_orders.h"
+
+#include <algorithm>
+
+namespace mimosadale::decide {
+
+namespace {
+
+// Time without a new engine after which the first layers are dealt: above the
+// registry's heartbeat, so that engines which start together are all seen.
+constexpr Duration SettleTime = std::chrono::milliseconds(1500);
+
+// Time after which an accepted order that shows no effect is given up: above
+// the time to load a whole accelerator.
+constexpr Duration OrderTime = std::chrono::seconds(10);
+
+// Pause before an engine that refused an order gets another one.
+constexpr Duration RefusedPause = std::chrono::seconds(1);
+
+} // namespace
+
+void LayerOrders::settle(const Fleet &Engines, Instant Now) {
+  std::erase_if(m_Pending, [&](const auto &Each) {
+    const FleetEndpoint *Known = Engines.find(Each.first);
+    return !Known || Known->m_Record.m_Layers == Each.second.m_Layers ||
+           Now - Each.second.m_Since > OrderTime;
+  });
+  std::erase_if(m_RefusedAt, [&](const auto &Each) {
+    return Now - Each.second > RefusedPause;
+  });
+}
+
+bool LayerOrders::waitsForEngines(const Fleet &Engines,
+                                  const ServiceId &Service, Instant Now) {
+  std::size_t Count = 0;
+  bool Held = false;
+  for (const auto &[Id, Known] : Engines.all())
+    if (Known.m_Record.m_Service == Service) {
+      ++Count;
+      Held |= Known.m_Record.m_Layers.m_End > 0;
+    }
+  if (Count != m_Known) {
+    m_Known = Count;
+    m_KnownSince = Now;
+  }
+  return !Held && m_Pending.empty() && Now - m_KnownSince < SettleTime;
+}
+
+std::vector<PlaceOrder> LayerOrders::due(const Fleet &Engines,
+                                         const ServiceId &Service,
+                                         const EngineModel &Model,
+                                         Instant Now) {
+  settle(Engines, Now);
+  if (waitsForEngines(Engines, Service, Now))
+    return {};
+  Fleet Expected = Engines;
+  for (const auto &[Id, Each] : m_Pending) {
+    EndpointRecord Record = Expected.find(Id)->m_Record;
+    Record.m_Layers = Each.m_Layers;
+    Expected.put(Record);
+  }
+  std::vector<PlaceOrder> Orders = planLayers(Expected, Service, Model);
+  std::erase_if(Orders, [&](const PlaceOrder &Each) {
+    return m_RefusedAt.contains(Each.m_Engine);
+  });
+  return Orders;
+}
+
+void LayerOrders::onSent(const PlaceOrder &Order, Instant Now) {
+  m_Pending[Order.m_Engine] = {Order.m_Layers, Now};
+}
+
+void LayerOrders::onRefused(const EndpointId &Engine, Instant Now) {
+  m_Pending.erase(Engine);
+  m_RefusedAt[Engine] = Now;
+}
+
+} // namespace mimosadale::decide
--- /dev/null
+++ b/packages/decide/layer_orders.h
@@ -0,0 +1,52 @@
+// Which orders to engines are due, given those that are under way.
+#ifndef MIMOSADALE_DECIDE_LAYER_ORDERS_H
+#define MIMOSADALE_DECIDE_LAYER_ORDERS_H
+
+#include "decide/layer_planner.h"
+
+#include <map>
+#include <vector>
+
+namespace mimosadale::decide {
+
+/// Follows orders from the decision until the engine is seen to hold the
+/// layers, and plans with those under way as if they were done.
+///
+/// \par Thread safety
+/// None.
+class LayerOrders {
+public:
+  /// The orders to send now. Before the first engine holds layers, waits until
+  /// no new engine has appeared for a while, since a chain that is split early
+  /// would leave later engines without a part.
+  std::vector<PlaceOrder> due(const Fleet &Engines, const ServiceId &Service,
+                              const EngineModel &Model, Instant Now);
+
+  /// \p Order was accepted, or may have been.
+  void onSent(const PlaceOrder &Order, Instant Now);
+
+  /// \p Engine refused an order: it is left alone for a while.
+  void onRefused(const EndpointId &Engine, Instant Now);
+
+  /// Whether orders are under way.
+  bool pending() const { return !m_Pending.empty(); }
+
+private:
+  struct Pending {
+    LayerRange m_Layers;
+    Instant m_Since{};
+  };
+
+  void settle(const Fleet &Engines, Instant Now);
+  bool waitsForEngines(const Fleet &Engines, const ServiceId &Service,
+                       Instant Now);
+
+  std::map<EndpointId, Pending> m_Pending;
+  std::map<EndpointId, Instant> m_RefusedAt;
+  std::size_t m_Known = 0; // engines at the last call
+  Instant m_KnownSince{};
+};
+
+} // namespace mimosadale::decide
+
+#endif
--- /dev/null
+++ b/packages/forward/engine_watch.cpp
@@ -0,0 +1,141 @@
+#include "forward/engine_watch.h"
+
+#include "forward/forward_call.h"
+#include "platform/names.h"
+#include "router/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosadale::forward {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Interval of the checks of all calls: well below the pauses that they notice.
+constexpr Duration TickPause = std::chrono::milliseconds(25);
+
+// Intervals between reports of one engine: while requests wait for it, while
+// it is distrusted, and for its load.
+constexpr Duration OverdueInterval = std::chrono::milliseconds(150);
+constexpr Duration SuspectInterval = std::chrono::milliseconds(500);
+constexpr Duration LoadInterval = std::chrono::milliseconds(800);
+
+// Time after which an engine that does not report counts as silent.
+constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
+
+// Time for which a distrusted engine is not asked: its report lags behind.
+constexpr Duration DistrustTime = std::chrono::milliseconds(700);
+
+// Idle time after which connections to endpoints are closed.
+constexpr Duration CloseIdleAfter = std::chrono::seconds(10);
+
+} // namespace
+
+asio::awaitable<void> EngineWatch::run() {
+  asio::steady_timer Timer(m_Shared.m_Io);
+  while (true) {
+    tick();
+    Timer.expires_after(TickPause);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+void EngineWatch::tick() {
+  const Instant Now = ForwardState::now();
+  const std::vector<ForwardCall *> Calls(m_Shared.m_Calls.begin(),
+                                         m_Shared.m_Calls.end());
+  for (ForwardCall *Each : Calls)
+    Each->onTick(Now);
+  askOverdue(Now);
+  askSuspects(Now);
+  askLoads(Now);
+  m_Shared.m_Pool->closeIdle(CloseIdleAfter);
+}
+
+void EngineWatch::askOverdue(Instant Now) {
+  for (const ForwardCall *Each : m_Shared.m_Calls)
+    if (const EndpointId First = Each->overdueAt(Now); !First.empty())
+      askOnce(First, Now, OverdueInterval);
+}
+
+void EngineWatch::askSuspects(Instant Now) {
+  for (const auto &[Id, Known] : m_Shared.m_Fleet.all())
+    if (Known.m_Suspect && Now - Known.m_SuspectSince > DistrustTime)
+      askOnce(Id, Now, SuspectInterval);
+}
+
+// Asks the engine with the least room of each chain, while there is traffic.
+void EngineWatch::askLoads(Instant Now) {
+  const auto &Routes = m_Shared.m_Routes.current();
+  if (!Routes || m_Shared.m_Calls.empty())
+    return;
+  for (const decide::ServiceInfo &Each : Routes->config().m_Services) {
+    const decide::ChainRouter *Chains = m_Shared.chainsOf(Each.m_Name);
+    if (!Chains)
+      continue;
+    for (const decide::Chain &Chain : Chains->chains())
+      askOnce(Chain.m_Tightest, Now, LoadInterval);
+  }
+}
+
+void EngineWatch::askOnce(const EndpointId &Endpoint, Instant Now,
+                          Duration Interval) {
+  Instant &Asked = m_AskedAt[Endpoint];
+  if (Now - Asked < Interval)
+    return;
+  Asked = Now;
+  asio::co_spawn(m_Shared.m_Io, ask(Endpoint), asio::detached);
+}
+
+asio::awaitable<void> EngineWatch::ask(EndpointId Endpoint) {
+  const auto *Known = m_Shared.m_Fleet.find(Endpoint);
+  if (!Known)
+    co_return;
+  net::HttpRequest Request;
+  Request.m_Target = platform::ReportPath;
+  Request.m_Headers.push_back(
+      {platform::ExpectInstanceHeader, Endpoint.str()});
+  net::ExchangeOptions Options;
+  Options.m_Timeout = ReportTimeout;
+  Options.m_ConnectTimeout = ReportTimeout;
+  const net::Address At = net::parseAddress(Known->m_Record.m_Address);
+  const bool Plain = Known->m_Record.m_Accelerator.empty();
+  std::string Fault;
+  m_Shared.m_Metrics.counted("report_asked");
+  try {
+    const net::HttpResponse Response =
+        co_await m_Shared.m_Client.exchange(At, Request, Options);
+    if (Response.m_Status == 200)
+      take(Endpoint, platform::decodeReport(Response.m_Body));
+    else if (Plain && Response.m_Status != 421)
+      m_Shared.m_Fleet.clear(Endpoint); // it answers; it has no report
+    else
+      Fault = "report: status " + std::to_string(Response.m_Status);
+  } catch (const Error &Wrong) {
+    Fault = std::string("report: ") + Wrong.what();
+  }
+  if (!Fault.empty())
+    m_Shared.suspect(Endpoint, Fault);
+}
+
+void EngineWatch::take(const EndpointId &Endpoint,
+                       const platform::EngineReport &Report) {
+  const Instant Now = ForwardState::now();
+  m_Shared.m_Fleet.onReport(Endpoint, Report.m_Layers, Report.m_Load, Now);
+  if (m_Shared.m_Fleet.clear(Endpoint))
+    router::logEvent(schema::INFO, "endpoint_trusted",
+                     {{"endpoint", Endpoint.str()}});
+  for (const platform::StalledRequest &Each : Report.m_Stalled) {
+    const auto *At = m_Shared.m_Fleet.findByAddress(Each.m_Address);
+    if (!At || At->m_Record.m_Id == Endpoint)
+      continue;
+    const EndpointId Lost = At->m_Record.m_Id;
+    m_Shared.suspect(Lost, "request " + Each.m_Request + " waits for it");
+  }
+}
+
+} // namespace mimosadale::forward
--- /dev/null
+++ b/packages/forward/engine_watch.h
@@ -0,0 +1,39 @@
+// Asks engines for their reports: what stalls, who lives, how full they are.
+#ifndef MIMOSADALE_FORWARD_ENGINE_WATCH_H
+#define MIMOSADALE_FORWARD_ENGINE_WATCH_H
+
+#include "forward/forward_state.h"
+#include "platform/endpoint_codec.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+namespace mimosadale::forward {
+
+/// Runs the checks of endpoints and the time limits of all calls.
+///
+/// \par Thread safety
+/// None; runs in the router's thread.
+class EngineWatch {
+public:
+  explicit EngineWatch(ForwardState &Shared) : m_Shared(Shared) {}
+
+  /// Ticks until the router ends.
+  boost::asio::awaitable<void> run();
+
+private:
+  void tick();
+  void askOverdue(Instant Now);
+  void askSuspects(Instant Now);
+  void askLoads(Instant Now);
+  void askOnce(const EndpointId &Endpoint, Instant Now, Duration Interval);
+  boost::asio::awaitable<void> ask(EndpointId Endpoint);
+  void take(const EndpointId &Endpoint, const platform::EngineReport &Report);
+
+  ForwardState &m_Shared;
+  std::map<EndpointId, Instant> m_AskedAt;
+};
+
+} // namespace mimosadale::forward
+
+#endif
--- /dev/null
+++ b/packages/forward/forward_call.cpp
@@ -0,0 +1,451 @@
+#include "forward/forward_call.h"
+
+#include "platform/names.h"
+#include "router/log.h"
+#include "router/replies.h"
+
+#include <algorithm>
+
+namespace mimosadale::forward {
+
+namespace asio = boost::asio;
+using decide::ForwardStep;
+using decide::SendFault;
+
+namespace {
+
+// When a caller may come back after a refusal for want of an endpoint.
+constexpr Duration ComeBack = std::chrono::milliseconds(700);
+
+// Time within which a connection to an endpoint must be there: twice a lost
+// opening packet's way inside a region.
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+
+// Idle time up to which a connection is used again for calls that may be
+// repeated, and for those that may not.
+constexpr Duration MostIdle = std::chrono::seconds(8);
+constexpr Duration MostIdleOnce = std::chrono::milliseconds(300);
+
+// Pause in a stream, and wait for a first event beyond the route's target,
+// after which the engines are asked what it waits for.
+constexpr Duration OverduePause = std::chrono::milliseconds(250);
+
+// Whole answers longer than this are not taken in one piece.
+constexpr std::size_t MostAnswerBytes = 16u << 20;
+
+std::string millisText(Duration Time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
+} // namespace
+
+ForwardCall::ForwardCall(ForwardState &Shared, net::HttpExchange &Exchange)
+    : m_Shared(Shared), m_Exchange(Exchange), m_Arrived(ForwardState::now()),
+      m_Facts(platform::decodeRequest(Exchange.request())) {
+  m_Shared.m_Calls.insert(this);
+}
+
+ForwardCall::~ForwardCall() { m_Shared.m_Calls.erase(this); }
+
+// Finds route, workspace and service. \returns whether the request may go on;
+// otherwise the refusal is set.
+bool ForwardCall::prepare() {
+  const auto Refuse = [&](schema::Reason Why, const char *Detail,
+                          std::optional<Duration> RetryAfter = std::nullopt) {
+    m_Refused = router::refuseUntouched(Why, Detail, RetryAfter);
+    return false;
+  };
+  m_Routes = m_Shared.m_Routes.current();
+  if (!m_Shared.ready())
+    return Refuse(schema::NOT_READY, "no configuration yet", ComeBack);
+  m_Route = m_Routes->find(m_Facts.m_Host, m_Exchange.request().m_Target);
+  if (!m_Route)
+    return Refuse(schema::NOT_FOUND, "no route for this host and path");
+  if (m_Routes->config().m_KeysRequired && !m_Route->m_Public) {
+    m_Workspace = m_Routes->workspaceOf(m_Facts.m_Key);
+    if (!m_Workspace)
+      return Refuse(schema::UNAUTHENTICATED, "the key is not known");
+  }
+  const double Draw =
+      std::uniform_real_distribution<double>(0, 1)(m_Shared.m_Random);
+  m_Service = m_Routes->chooseService(*m_Route, Draw);
+  decide::ForwardStart Start;
+  Start.m_Kind = m_Route->m_Kind;
+  Start.m_Resumable = m_Route->m_Resumable;
+  Start.m_MaxEndpoints = m_Route->m_MaxEndpoints;
+  Start.m_Timeout = m_Arrived + m_Route->m_Timeout;
+  Start.m_Deadline =
+      m_Facts.m_Deadline ? m_Arrived + *m_Facts.m_Deadline : Start.m_Timeout;
+  m_Run.emplace(Start);
+  return true;
+}
+
+asio::awaitable<void> ForwardCall::serve() {
+  if (!prepare()) {
+    decide::Refusal Why = *m_Refused;
+    co_await refuse(std::move(Why));
+    co_return;
+  }
+  m_Exchange.watchCaller([this] {
+    m_CallerGone = true;
+    end(Ended::CallerGone);
+  });
+  m_Shared.budgetOf(m_Service).onFirstTry();
+  bool More = true;
+  while (More) {
+    std::optional<Target> To = chooseTarget();
+    std::optional<ForwardStep> Step;
+    if (To) {
+      Target Chosen = std::move(*To);
+      Step = co_await sendTo(std::move(Chosen));
+    } else {
+      Step = m_Run->onNoEndpoint(schema::NO_ENDPOINT, ComeBack);
+    }
+    if (!Step)
+      co_return; // the answer is out
+    if (m_CallerGone) {
+      logOutcome("caller_gone", 0);
+      m_Exchange.abort();
+      co_return;
+    }
+    ForwardStep Next = std::move(*Step);
+    More = co_await carryOut(std::move(Next));
+  }
+}
+
+// \returns whether the request is sent again.
+asio::awaitable<bool> ForwardCall::carryOut(ForwardStep Step) {
+  if (const auto *Again = std::get_if<decide::SendAgain>(&Step)) {
+    m_Shared.m_Metrics.retried(Again->m_Why);
+    router::logEvent(schema::INFO, "send_again",
+                     {{"request", m_Facts.m_Id.str()},
+                      {"after", m_Target.m_Endpoint.str()},
+                      {"reason", schema::RetryReason_Name(Again->m_Why)},
+                      {"last_event", m_Events.lastId()}});
+    co_return true;
+  }
+  if (auto *Refuse = std::get_if<decide::RefuseForward>(&Step)) {
+    decide::Refusal Why = Refuse->m_Refusal;
+    co_await refuse(std::move(Why));
+  } else if (const auto *Cut = std::get_if<decide::CutOff>(&Step)) {
+    m_Shared.m_Metrics.refused(Cut->m_Why);
+    logOutcome("cut_off", 0);
+    m_Exchange.abort();
+  } else {
+    net::HttpResponse Answer = std::move(*m_Failure);
+    logOutcome("endpoint_failure", Answer.m_Status);
+    co_await m_Exchange.respond(std::move(Answer));
+  }
+  co_return false;
+}
+
+std::optional<ForwardCall::Target> ForwardCall::chooseTarget() {
+  return m_Shared.chainsOf(m_Service) ? chooseChain() : choosePlain();
+}
+
+std::optional<ForwardCall::Target> ForwardCall::chooseChain() {
+  const decide::RequestSize Size =
+      m_Facts.m_Size.value_or(decide::RequestSize{});
+  const decide::Chain *Chosen = m_Shared.chainsOf(m_Service)->choose(
+      m_Shared.m_Fleet, Size, DataCentreId(m_Shared.m_Settings.data_centre()),
+      m_Run->avoided(), m_Shared.m_Random);
+  if (!Chosen)
+    return std::nullopt;
+  Target To;
+  To.m_Path = Chosen->m_Stages;
+  To.m_Endpoint = To.m_Path.front().m_Endpoint;
+  To.m_Address = net::parseAddress(
+      m_Shared.m_Fleet.find(To.m_Endpoint)->m_Record.m_Address);
+  return To;
+}
+
+// The endpoint with the fewest requests of this router; one of this data centre
+// where two are alike.
+std::optional<ForwardCall::Target> ForwardCall::choosePlain() {
+  const decide::FleetEndpoint *Best = nullptr;
+  double BestCost = 0;
+  std::uniform_real_distribution<double> Tie(0, 0.4);
+  for (const auto &[Id, Known] : m_Shared.m_Fleet.all()) {
+    if (Known.m_Record.m_Service != m_Service || Known.m_Record.m_Leaving ||
+        m_Run->avoided().contains(Id))
+      continue;
+    const bool Here =
+        Known.m_Record.m_DataCentre.str() == m_Shared.m_Settings.data_centre();
+    const double Cost = Known.m_InFlight + (Here ? 0 : 0.5) +
+                        (Known.m_Suspect ? 1000 : 0) + Tie(m_Shared.m_Random);
+    if (!Best || Cost < BestCost) {
+      Best = &Known;
+      BestCost = Cost;
+    }
+  }
+  if (!Best)
+    return std::nullopt;
+  Target To;
+  To.m_Endpoint = Best->m_Record.m_Id;
+  To.m_Address = net::parseAddress(Best->m_Record.m_Address);
+  return To;
+}
+
+// Counts the request in (1) or out (-1) at every engine of its path.
+void ForwardCall::charge(const Target &To, int Sign) {
+  m_Shared.m_Fleet.countFirstStage(To.m_Endpoint, Sign);
+  const double Tokens = m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0;
+  for (const decide::StagePlan &Each : To.m_Path)
+    m_Shared.m_Fleet.countMemory(
+        Each.m_Endpoint,
+        Sign * Tokens * (Each.m_Layers.m_End - Each.m_Layers.m_First));
+}
+
+asio::awaitable<std::optional<ForwardStep>> ForwardCall::sendTo(Target To) {
+  m_Target = To;
+  m_Ended = Ended::No;
+  m_EventSeen = false;
+  m_Events.dropPartial();
+  m_LastProgress = ForwardState::now();
+  m_Waiting = true;
+  charge(m_Target, 1);
+  std::optional<ForwardStep> Step;
+  std::string Fault;
+  try {
+    Step = co_await exchange(std::move(To));
+  } catch (const net::NetError &Wrong) {
+    Fault = Wrong.what();
+    if (m_CallerGone) {
+      Step = decide::CutOff{schema::CALLER_GONE};
+    } else if (Wrong.phase() == net::Phase::Connect) {
+      if (m_Ended == Ended::No || m_Ended == Ended::EngineLost) {
+        m_Shared.suspect(m_Target.m_Endpoint, "connect: " + Fault);
+        Step = fault(SendFault::NotSent, {m_Target.m_Endpoint});
+      } else {
+        m_Run->onFault(SendFault::NotSent, {}, ForwardState::now(),
+                       [] { return false; });
+        Step = ended();
+      }
+    } else if (m_Ended != Ended::No) {
+      Step = ended();
+    } else {
+      Step = fault(SendFault::Broken, {m_Target.m_Endpoint});
+    }
+  }
+  m_Waiting = false;
+  m_Cancel = nullptr;
+  charge(m_Target, -1);
+  co_return Step;
+}
+
+// What follows from a send that this router ended.
+ForwardStep ForwardCall::ended() {
+  if (m_Ended == Ended::EngineLost) {
+    decide::EndpointSet Lost;
+    for (const decide::StagePlan &Each : m_Target.m_Path) {
+      const auto *Known = m_Shared.m_Fleet.find(Each.m_Endpoint);
+      if (!Known || !Known->usable())
+        Lost.insert(Each.m_Endpoint);
+    }
+    if (m_Target.m_Path.empty())
+      Lost.insert(m_Target.m_Endpoint);
+    return fault(SendFault::Stalled, Lost);
+  }
+  return m_Run->onTimeout();
+}
+
+ForwardStep ForwardCall::fault(SendFault How, const decide::EndpointSet &Lost) {
+  return m_Run->onFault(How, Lost, ForwardState::now(), [this] {
+    return m_Shared.budgetOf(m_Service).take();
+  });
+}
+
+// An engine of the path refused the request, or could not be reached from the
+// one before it.
+ForwardStep ForwardCall::faultAt(const std::string &Address, unsigned Status) {
+  decide::EndpointSet Lost;
+  if (const auto *At = m_Shared.m_Fleet.findByAddress(Address)) {
+    const EndpointId Id = At->m_Record.m_Id;
+    m_Shared.suspect(Id, "refused with " + std::to_string(Status));
+    Lost.insert(Id);
+  } else if (m_Target.m_Path.empty()) {
+    Lost.insert(m_Target.m_Endpoint);
+  }
+  return fault(SendFault::SaidNotRun, Lost);
+}
+
+net::HttpRequest ForwardCall::encode(const Target &To) const {
+  platform::ForwardHeaders Added;
+  Added.m_Left = m_Run->end() - ForwardState::now();
+  Added.m_Endpoint = To.m_Endpoint;
+  if (m_Workspace)
+    Added.m_Workspace = m_Workspace->m_Name.str();
+  if (!To.m_Path.empty())
+    Added.m_Path = platform::encodePath(m_Shared.m_Fleet, To.m_Path);
+  Added.m_LastEvent = m_Events.lastId();
+  return platform::encodeForward(m_Exchange.request(), Added);
+}
+
+asio::awaitable<std::optional<ForwardStep>> ForwardCall::exchange(Target To) {
+  const Duration Idle = m_Route->m_Kind == decide::CallKind::AtMostOnce
+                            ? MostIdleOnce
+                            : MostIdle;
+  const std::unique_ptr<net::UpstreamExchange> Open =
+      co_await m_Shared.m_Pool->open(
+          To.m_Address, Idle,
+          [this](std::function<void()> Cancel) { m_Cancel = std::move(Cancel); });
+  m_Cancel = [Exchange = Open.get()] { Exchange->cancel(); };
+  if (m_Ended != Ended::No)
+    throw net::NetError(net::Phase::Connect, true, "ended while connecting");
+  m_Run->beforeSend(To.m_Endpoint);
+  net::HttpRequest Request = encode(To);
+  co_await Open->send(std::move(Request));
+  net::HttpResponse Head =
+      co_await Open->readHead([this](const net::HttpResponse &Each) {
+        const std::string Id = platform::decodeAnswer(Each).m_RequestId;
+        return Id.empty() || Id == m_Facts.m_Id.str();
+      });
+  m_LastProgress = ForwardState::now();
+  net::UpstreamExchange &From = *Open;
+  co_return co_await passOn(From, std::move(Head));
+}
+
+asio::awaitable<std::optional<ForwardStep>>
+ForwardCall::passOn(net::UpstreamExchange &From, net::HttpResponse Head) {
+  const platform::AnswerFacts Facts = platform::decodeAnswer(Head);
+  const bool Good = Head.m_Status / 100 == 2;
+  if (Good && Facts.m_Events && m_Route->m_Kind == decide::CallKind::Stream) {
+    if (!m_Run->headDelivered()) {
+      net::HttpResponse Out = platform::encodeAnswerHead(Head);
+      m_Run->onHeadDelivered();
+      co_await toCaller(m_Exchange.startStream(std::move(Out)));
+    }
+    co_return co_await passOnEvents(From);
+  }
+  net::HttpResponse Answer = platform::encodeAnswerHead(Head);
+  while (co_await From.readSome(Answer.m_Body))
+    if (Answer.m_Body.size() > MostAnswerBytes)
+      throw net::NetError(net::Phase::Read, false, "answer too large");
+  if (Facts.m_SaidNotRun)
+    co_return faultAt(Facts.m_FaultAddress, Head.m_Status);
+  if (m_Run->headDelivered())
+    co_return fault(SendFault::Broken, {m_Target.m_Endpoint});
+  if (Good || Head.m_Status < 500) {
+    // A promise of "not run" without the endpoint's word would be false.
+    if (Head.m_Status == 429 || Head.m_Status == 408)
+      co_return fault(SendFault::Broken, {m_Target.m_Endpoint});
+    logOutcome("answered", Head.m_Status);
+    m_Waiting = false;
+    co_await toCaller(m_Exchange.respond(std::move(Answer)));
+    co_return std::nullopt;
+  }
+  if (Head.m_Status == 503)
+    co_return fault(SendFault::Broken, {m_Target.m_Endpoint});
+  m_Failure = std::move(Answer);
+  co_return fault(SendFault::Failed, {m_Target.m_Endpoint});
+}
+
+asio::awaitable<std::optional<ForwardStep>>
+ForwardCall::passOnEvents(net::UpstreamExchange &From) {
+  while (co_await From.readSome(m_Events.buffer())) {
+    m_LastProgress = ForwardState::now();
+    std::string Whole = m_Events.takeWhole();
+    if (Whole.empty())
+      continue;
+    if (!m_FirstEvent) {
+      m_FirstEvent = m_LastProgress;
+      m_Shared.m_Metrics.timed(router::Timing::FirstToken,
+                               m_LastProgress - m_Arrived);
+    }
+    m_EventSeen = true;
+    ++m_EventCount;
+    co_await toCaller(m_Exchange.write(std::move(Whole)));
+  }
+  if (std::string Rest = m_Events.takeRest(); !Rest.empty())
+    co_await toCaller(m_Exchange.write(std::move(Rest)));
+  co_await toCaller(m_Exchange.finish());
+  logOutcome("answered", 200);
+  co_return std::nullopt;
+}
+
+// Tells a failed write to the caller from one to the endpoint.
+asio::awaitable<void> ForwardCall::toCaller(asio::awaitable<void> Write) {
+  try {
+    co_await std::move(Write);
+  } catch (const net::NetError &) {
+    m_CallerGone = true;
+    throw;
+  }
+}
+
+asio::awaitable<void> ForwardCall::refuse(decide::Refusal Why) {
+  m_Shared.m_Metrics.refused(Why.reason());
+  net::HttpResponse Response = router::refusalResponse(Why);
+  // Only what is proved not to have run may say so.
+  if (Why.runState() != schema::NOT_RUN)
+    Response.m_Status = Why.reason() == schema::DEADLINE_PASSED ? 504 : 502;
+  if (!m_Facts.m_Id.empty())
+    Response.m_Headers.push_back(
+        {platform::RequestIdHeader, m_Facts.m_Id.str()});
+  logOutcome(router::reasonName(Why.reason()), Response.m_Status);
+  co_await m_Exchange.respond(std::move(Response));
+}
+
+void ForwardCall::end(Ended Why) {
+  if (m_Ended != Ended::No || !m_Waiting)
+    return;
+  m_Ended = Why;
+  if (m_Cancel)
+    m_Cancel();
+}
+
+void ForwardCall::onTick(Instant Now) {
+  if (!m_Run || !m_Waiting)
+    return;
+  if (Now >= m_Run->end())
+    end(Ended::Timeout);
+  else if (m_Run->sends() == 0 && Now - m_LastProgress > ConnectTimeout)
+    end(Ended::EngineLost);
+  else if (m_Route->m_Resumable && !overdueAt(Now).empty() && pathLost())
+    end(Ended::EngineLost);
+}
+
+// Whether an engine of the present path is gone or distrusted.
+bool ForwardCall::pathLost() const {
+  return std::any_of(m_Target.m_Path.begin(), m_Target.m_Path.end(),
+                     [&](const decide::StagePlan &Each) {
+                       const auto *Known =
+                           m_Shared.m_Fleet.find(Each.m_Endpoint);
+                       return !Known || Known->m_Suspect;
+                     });
+}
+
+EndpointId ForwardCall::overdueAt(Instant Now) const {
+  if (!m_Waiting || m_Target.m_Path.empty())
+    return EndpointId();
+  const Duration Allowed =
+      m_EventSeen ? OverduePause : OverduePause + m_Route->m_TargetLatency;
+  return Now - m_LastProgress > Allowed ? m_Target.m_Endpoint : EndpointId();
+}
+
+void ForwardCall::logOutcome(const std::string &Outcome, unsigned Status) {
+  std::vector<router::LogField> Fields{
+      {"request", m_Facts.m_Id.str()},
+      {"outcome", Outcome},
+      {"status", std::to_string(Status)},
+      {"ms", millisText(ForwardState::now() - m_Arrived)}};
+  if (m_Route) {
+    Fields.push_back({"route", m_Route->m_Name});
+    Fields.push_back({"service", m_Service.str()});
+    Fields.push_back({"version",
+                      std::to_string(m_Routes->config().m_Version)});
+  }
+  if (m_Run) {
+    Fields.push_back({"sends", std::to_string(m_Run->sends())});
+    Fields.push_back({"run_state", schema::RunState_Name(m_Run->runState())});
+    Fields.push_back({"endpoint", m_Target.m_Endpoint.str()});
+  }
+  if (m_FirstEvent) {
+    Fields.push_back({"first_event_ms", millisText(*m_FirstEvent - m_Arrived)});
+    Fields.push_back({"events", std::to_string(m_EventCount)});
+  }
+  router::logEvent(schema::INFO, "request_ended", Fields);
+}
+
+} // namespace mimosadale::forward
--- /dev/null
+++ b/packages/forward/forward_call.h
@@ -0,0 +1,102 @@
+// One forwarded request, carried out.
+#ifndef MIMOSADALE_FORWARD_FORWARD_CALL_H
+#define MIMOSADALE_FORWARD_FORWARD_CALL_H
+
+#include "decide/forward_run.h"
+#include "forward/event_splitter.h"
+#include "forward/forward_state.h"
+#include "net/server.h"
+#include "platform/request_headers.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+namespace mimosadale::forward {
+
+/// Takes one request from its header to its last byte.
+///
+/// \par Thread safety
+/// None; lives in one coroutine of the router's thread.
+class ForwardCall {
+public:
+  /// \pre Both outlive this object.
+  ForwardCall(ForwardState &Shared, net::HttpExchange &Exchange);
+  ~ForwardCall();
+  ForwardCall(const ForwardCall &) = delete;
+  ForwardCall &operator=(const ForwardCall &) = delete;
+
+  /// Serves the request.
+  boost::asio::awaitable<void> serve();
+
+  /// Ends what has run out of time. \pre Called a few times a second.
+  void onTick(Instant Now);
+
+  /// The first engine of the present path if the request waits for it longer
+  /// than it should; empty otherwise.
+  EndpointId overdueAt(Instant Now) const;
+
+  const RequestId &request() const { return m_Facts.m_Id; }
+
+private:
+  // Where a request is sent.
+  struct Target {
+    EndpointId m_Endpoint;
+    net::Address m_Address;
+    decide::Path m_Path; // of chained engines
+  };
+
+  // Why this router ended a send before the endpoint did.
+  enum class Ended { No, Timeout, CallerGone, EngineLost };
+
+  bool prepare();
+  std::optional<Target> chooseTarget();
+  std::optional<Target> chooseChain();
+  std::optional<Target> choosePlain();
+  boost::asio::awaitable<std::optional<decide::ForwardStep>>
+  sendTo(Target To);
+  boost::asio::awaitable<std::optional<decide::ForwardStep>>
+  exchange(Target To);
+  boost::asio::awaitable<std::optional<decide::ForwardStep>>
+  passOn(net::UpstreamExchange &From, net::HttpResponse Head);
+  boost::asio::awaitable<std::optional<decide::ForwardStep>>
+  passOnEvents(net::UpstreamExchange &From);
+  boost::asio::awaitable<bool> carryOut(decide::ForwardStep Step);
+  decide::ForwardStep fault(decide::SendFault How,
+                            const decide::EndpointSet &Lost = {});
+  decide::ForwardStep faultAt(const std::string &Address, unsigned Status);
+  decide::ForwardStep ended();
+  boost::asio::awaitable<void> toCaller(boost::asio::awaitable<void> Write);
+  bool pathLost() const;
+  boost::asio::awaitable<void> refuse(decide::Refusal Why);
+  net::HttpRequest encode(const Target &To) const;
+  void charge(const Target &To, int Sign);
+  void end(Ended Why);
+  void logOutcome(const std::string &Outcome, unsigned Status);
+
+  ForwardState &m_Shared;
+  net::HttpExchange &m_Exchange;
+  const Instant m_Arrived;
+  platform::RequestFacts m_Facts;
+  std::shared_ptr<const decide::RouteTable> m_Routes;
+  const decide::Route *m_Route = nullptr;
+  const decide::WorkspaceKeys *m_Workspace = nullptr;
+  ServiceId m_Service;
+  std::optional<decide::ForwardRun> m_Run;
+  std::optional<decide::Refusal> m_Refused; // before any send
+  Target m_Target;                          // of the present send
+  double m_Charged = 0;                     // tokens
+  std::function<void()> m_Cancel;           // of the present send
+  Ended m_Ended = Ended::No;
+  bool m_CallerGone = false;
+  bool m_Waiting = false; // for the endpoint
+  Instant m_LastProgress{};
+  bool m_EventSeen = false; // of the present send
+  EventSplitter m_Events;
+  std::optional<net::HttpResponse> m_Failure; // the endpoint's own, whole
+  std::optional<Instant> m_FirstEvent;
+  unsigned m_EventCount = 0;
+};
+
+} // namespace mimosadale::forward
+
+#endif
--- /dev/null
+++ b/packages/forward/forward_node.h
@@ -0,0 +1,36 @@
+// One forwarding router process, put together.
+#ifndef MIMOSADALE_FORWARD_FORWARD_NODE_H
+#define MIMOSADALE_FORWARD_FORWARD_NODE_H
+
+#include "schema/generated/settings.pb.h"
+
+#include <functional>
+#include <memory>
+
+namespace mimosadale::forward {
+
+/// Reads the settings anew after SIGHUP; log level and retry bounds are taken
+/// over.
+using ReloadHook = std::function<schema::ForwardSettings()>;
+
+/// A forwarding router with its listeners and tasks.
+///
+/// \par Thread safety
+/// Used from the main thread only.
+class ForwardNode {
+public:
+  /// \throws Error when a listener cannot be opened.
+  ForwardNode(schema::ForwardSettings Settings, ReloadHook Reload);
+  ~ForwardNode();
+
+  /// Serves until SIGTERM or SIGINT, then drains. \returns the exit status.
+  int run();
+
+private:
+  class Parts;
+  std::unique_ptr<Parts> m_Parts;
+};
+
+} // namespace mimosadale::forward
+
+#endif
--- /dev/null
+++ b/packages/forward/forward_state.cpp
@@ -0,0 +1,48 @@
+#include "forward/forward_state.h"
+
+#include "router/log.h"
+
+namespace mimosadale::forward {
+
+ForwardState::ForwardState(boost::asio::io_context &Io,
+                           schema::ForwardSettings Settings)
+    : m_Io(Io), m_Settings(std::move(Settings)), m_Client(Io.get_executor()),
+      m_Pool(std::make_shared<net::UpstreamPool>(Io.get_executor())),
+      m_Store(m_Client, net::parseAddress(m_Settings.store().address()),
+              std::chrono::milliseconds(m_Settings.store().timeout_ms())),
+      m_Random(std::random_device()()) {}
+
+const decide::ChainRouter *ForwardState::chainsOf(const ServiceId &Service) {
+  const auto &Routes = m_Routes.current();
+  const decide::ServiceInfo *Info = Routes ? Routes->service(Service) : nullptr;
+  if (!Info || !Info->m_Engine)
+    return nullptr;
+  Chains &Known = m_Chains[Service];
+  const std::uint64_t Version = Routes->config().m_Version;
+  if (Known.m_Fleet != m_Fleet.revision() || Known.m_Version != Version) {
+    Known.m_Router.rebuild(m_Fleet, Service, *Info->m_Engine);
+    Known.m_Fleet = m_Fleet.revision();
+    Known.m_Version = Version;
+    m_Metrics.gauge("chains",
+                    static_cast<double>(Known.m_Router.chains().size()));
+  }
+  return &Known.m_Router;
+}
+
+decide::RetryBudget &ForwardState::budgetOf(const ServiceId &Service) {
+  const auto &Retries = m_Settings.retries();
+  const double Share = static_cast<double>(Retries.slack()) /
+                       static_cast<double>(m_Routers);
+  return m_Budgets.try_emplace(Service, Retries.fraction(), Share)
+      .first->second;
+}
+
+void ForwardState::suspect(const EndpointId &Endpoint, const std::string &Why) {
+  if (!m_Fleet.suspect(Endpoint, Why, now()))
+    return;
+  m_Metrics.counted("endpoint_suspect");
+  router::logEvent(schema::WARN, "endpoint_suspect",
+                   {{"endpoint", Endpoint.str()}, {"reason", Why}});
+}
+
+} // namespace mimosadale::forward
--- /dev/null
+++ b/packages/forward/forward_state.h
@@ -0,0 +1,74 @@
+// What the parts of a forwarding router share.
+#ifndef MIMOSADALE_FORWARD_FORWARD_STATE_H
+#define MIMOSADALE_FORWARD_FORWARD_STATE_H
+
+#include "decide/chain_router.h"
+#include "decide/fleet.h"
+#include "decide/retry_budget.h"
+#include "decide/route_table.h"
+#include "net/client.h"
+#include "net/upstream.h"
+#include "platform/store_client.h"
+#include "router/metrics.h"
+#include "schema/generated/settings.pb.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <set>
+
+namespace mimosadale::forward {
+
+class ForwardCall;
+
+/// The tables, clients and settings of one forwarding router.
+///
+/// \par Thread safety
+/// None: everything of a forwarding router runs in one thread, since its host
+/// gives it a part of one core (docs/design/forwarding.md).
+class ForwardState {
+public:
+  ForwardState(boost::asio::io_context &Io, schema::ForwardSettings Settings);
+
+  /// The chains of \p Service as the fleet is now; null for a plain service.
+  const decide::ChainRouter *chainsOf(const ServiceId &Service);
+
+  /// The retry budget of \p Service.
+  decide::RetryBudget &budgetOf(const ServiceId &Service);
+
+  /// Whether configuration and registry were read, so that requests can be
+  /// served.
+  bool ready() const { return m_Routes.current() && m_RegistryRead; }
+
+  /// Distrusts an endpoint and logs it, if that is news.
+  void suspect(const EndpointId &Endpoint, const std::string &Why);
+
+  static Instant now() { return std::chrono::steady_clock::now(); }
+
+  boost::asio::io_context &m_Io;
+  schema::ForwardSettings m_Settings;
+  router::Metrics m_Metrics;
+  net::HttpClient m_Client; // store and reports
+  std::shared_ptr<net::UpstreamPool> m_Pool;
+  platform::StoreClient m_Store;
+  decide::RouteTableHolder m_Routes;
+  decide::Fleet m_Fleet;
+  decide::Random m_Random;
+  bool m_RegistryRead = false;
+  bool m_Stopping = false;
+  std::size_t m_Routers = 1; // routers that share budgets with this one
+  std::set<ForwardCall *> m_Calls;
+
+private:
+  struct Chains {
+    decide::ChainRouter m_Router;
+    std::uint64_t m_Fleet = 0;   // revision that it was built from
+    std::uint64_t m_Version = 0; // of the configuration
+  };
+
+  std::map<ServiceId, Chains> m_Chains;
+  std::map<ServiceId, decide::RetryBudget> m_Budgets;
+};
+
+} // namespace mimosadale::forward
+
+#endif
--- /dev/null
+++ b/packages/forward/layer_control.cpp
@@ -0,0 +1,148 @@
+#include "forward/layer_control.h"
+
+#include "platform/endpoint_codec.h"
+#include "platform/lease_codec.h"
+#include "platform/names.h"
+#include "router/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosadale::forward {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Interval at which the plan is compared with what is held.
+constexpr Duration PlanPause = std::chrono::milliseconds(200);
+
+// Time after the start before the first plan, so that the registry is read and
+// other routers' orders show.
+constexpr Duration FirstPlan = std::chrono::milliseconds(1500);
+
+constexpr Duration OrderTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+LayerControl::LayerControl(ForwardState &Shared)
+    : m_Shared(Shared), m_Lease(PeerId(Shared.m_Settings.name())),
+      m_Begun(ForwardState::now()) {}
+
+asio::awaitable<void> LayerControl::run() {
+  asio::steady_timer Timer(m_Shared.m_Io);
+  std::uniform_int_distribution<int> Spread(0, 60);
+  while (true) {
+    Timer.expires_after(PlanPause +
+                        std::chrono::milliseconds(Spread(m_Shared.m_Random)));
+    co_await Timer.async_wait(asio::use_awaitable);
+    if (m_Shared.ready() && !m_Shared.m_Stopping &&
+        ForwardState::now() - m_Begun > FirstPlan)
+      co_await tick();
+  }
+}
+
+const decide::ServiceInfo *LayerControl::engineService() const {
+  for (const decide::ServiceInfo &Each :
+       m_Shared.m_Routes.current()->config().m_Services)
+    if (Each.m_Engine)
+      return &Each;
+  return nullptr;
+}
+
+asio::awaitable<void> LayerControl::tick() {
+  const decide::ServiceInfo *Service = engineService();
+  if (!Service)
+    co_return;
+  const Instant Now = ForwardState::now();
+  const std::vector<decide::PlaceOrder> Due =
+      m_Orders.due(m_Shared.m_Fleet, Service->m_Name, *Service->m_Engine, Now);
+  if (Due.empty() && !m_Orders.pending())
+    co_return;
+  const unsigned AtOnce = Service->m_Engine->m_LoadsAtOnce;
+  if (m_Lease.wantsRow(Now))
+    co_await takeLease();
+  for (const decide::PlaceOrder &Each : Due) {
+    const auto Fence = m_Lease.fence(ForwardState::now());
+    if (!Fence || m_InProgress >= std::max(1u, AtOnce) * 8)
+      co_return;
+    m_Orders.onSent(Each, Now);
+    asio::co_spawn(m_Shared.m_Io, order(Each, *Fence), asio::detached);
+  }
+}
+
+asio::awaitable<void> LayerControl::takeLease() {
+  const Instant Asked = ForwardState::now();
+  try {
+    const platform::Rows Read =
+        co_await m_Shared.m_Store.readTable(platform::OwnTable);
+    decide::LeaseRow Row;
+    for (const platform::Row &Each : Read.m_Rows)
+      if (Each.m_Key == platform::LeaseKey)
+        Row = platform::decodeLease(Each.m_Value, Each.m_Version);
+    const auto Write =
+        m_Lease.onRow(Row, Read.m_StoreMs, Asked, ForwardState::now());
+    if (!Write)
+      co_return;
+    const std::string Value =
+        platform::encodeLease(m_Shared.m_Settings.name(), Write->m_UntilMs);
+    const platform::WriteResult Result = co_await m_Shared.m_Store.write(
+        platform::OwnTable, platform::LeaseKey, Value, Write->m_Expect);
+    if (Result.m_Kind == platform::WriteResult::Kind::Done) {
+      m_Lease.onWritten(Result.m_Version);
+      router::logEvent(schema::INFO, "order_lease_taken",
+                       {{"fence", std::to_string(Result.m_Version)},
+                        {"before", Row.m_Holder.str()}});
+      co_return;
+    }
+    m_Lease.onFailed(ForwardState::now());
+  } catch (const Error &Wrong) {
+    router::logEvent(schema::WARN, "order_lease_failed",
+                     {{"detail", Wrong.what()}});
+    m_Lease.onFailed(ForwardState::now());
+  }
+}
+
+asio::awaitable<void> LayerControl::order(decide::PlaceOrder Order,
+                                          std::uint64_t Fence) {
+  const auto *Known = m_Shared.m_Fleet.find(Order.m_Engine);
+  if (!Known)
+    co_return;
+  net::HttpRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Target = platform::OrderPath;
+  Request.m_Headers = {{"Content-Type", "application/json"},
+                       {platform::ExpectInstanceHeader, Order.m_Engine.str()}};
+  Request.m_Body = platform::encodePlaceOrder(Order.m_Layers, Fence);
+  net::ExchangeOptions Options;
+  Options.m_Timeout = OrderTimeout;
+  const net::Address At = net::parseAddress(Known->m_Record.m_Address);
+  ++m_InProgress;
+  std::string Outcome;
+  try {
+    const net::HttpResponse Response =
+        co_await m_Shared.m_Client.exchange(At, Request, Options);
+    Outcome = std::to_string(Response.m_Status);
+    if (Response.m_Status == 412)
+      m_Lease.onFenced(ForwardState::now());
+    if (Response.m_Status >= 400)
+      m_Orders.onRefused(Order.m_Engine, ForwardState::now());
+  } catch (const net::NetError &Wrong) {
+    // It may have been accepted: it stays pending until the engine shows it.
+    Outcome = Wrong.what();
+    if (Wrong.phase() == net::Phase::Connect)
+      m_Orders.onRefused(Order.m_Engine, ForwardState::now());
+  }
+  --m_InProgress;
+  m_Shared.m_Metrics.counted("order_sent");
+  router::logEvent(schema::INFO, "engine_ordered",
+                   {{"engine", Order.m_Engine.str()},
+                    {"layers", std::to_string(Order.m_Layers.m_First) + "-" +
+                                   std::to_string(Order.m_Layers.m_End)},
+                    {"fence", std::to_string(Fence)},
+                    {"outcome", Outcome}});
+}
+
+} // namespace mimosadale::forward
--- /dev/null
+++ b/packages/forward/store_watch.cpp
@@ -0,0 +1,164 @@
+#include "forward/store_watch.h"
+
+#include "platform/config_codec.h"
+#include "platform/endpoint_codec.h"
+#include "platform/names.h"
+#include "router/log.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosadale::forward {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// How long one call of a feed waits for a change: far below the store's limit,
+// so that a connection that went silent is noticed.
+constexpr Duration FeedWait = std::chrono::seconds(4);
+
+// Pauses between calls of a feed while changes come: shorter than the time in
+// which a change must be in force, long enough to take several at once.
+constexpr Duration ConfigPause = std::chrono::milliseconds(20);
+constexpr Duration RegistryPause = std::chrono::milliseconds(200);
+
+// Pause after a call that failed.
+constexpr Duration FailurePause = std::chrono::milliseconds(250);
+
+// Time after the store's return in which lapsed entries come back.
+constexpr Duration LapseGrace = std::chrono::milliseconds(2500);
+
+asio::awaitable<void> pause(asio::io_context &Io, Duration Time) {
+  asio::steady_timer Timer(Io, Time);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace
+
+StoreWatch::StoreWatch(ForwardState &Shared, std::function<void()> OnConfig)
+    : m_Shared(Shared), m_OnConfig(std::move(OnConfig)) {}
+
+asio::awaitable<void> StoreWatch::followConfig() {
+  Apply Take = [this](const platform::Rows &Changes, bool) {
+    takeConfig(Changes);
+  };
+  co_await follow(platform::OperatorTable, ConfigPause, std::move(Take));
+}
+
+asio::awaitable<void> StoreWatch::followRegistry() {
+  Apply Take = [this](const platform::Rows &Changes, bool Whole) {
+    takeRegistry(Changes, Whole);
+  };
+  co_await follow(platform::RegistryTable, RegistryPause, std::move(Take));
+}
+
+asio::awaitable<void> StoreWatch::follow(std::string Table, Duration Pause,
+                                         Apply Take) {
+  bool Whole = true;
+  std::uint64_t Version = 0;
+  while (true) {
+    bool Failed = false;
+    try {
+      platform::Rows Got;
+      if (Whole)
+        Got = co_await m_Shared.m_Store.readTable(Table);
+      else
+        Got = co_await m_Shared.m_Store.feed(Table, Version, FeedWait);
+      noteStore(Table, true, "");
+      m_Shared.m_Metrics.counted("store_call");
+      if (Got.m_HistoryGone) {
+        router::logEvent(schema::WARN, "store_history_gone",
+                         {{"table", Table}, {"after", std::to_string(Version)}});
+        Whole = true;
+        continue;
+      }
+      Take(Got, Whole);
+      Version = Got.m_Version;
+      Whole = false;
+    } catch (const Error &Wrong) {
+      noteStore(Table, false, Wrong.what());
+      Failed = true;
+    }
+    const Duration Next = Failed ? FailurePause : Pause;
+    co_await pause(m_Shared.m_Io, Next);
+  }
+}
+
+// One line when the store is lost and one when it is back.
+void StoreWatch::noteStore(const std::string &Table, bool Reachable,
+                           const std::string &Detail) {
+  const auto [Known, Fresh] = m_Reachable.try_emplace(Table, Reachable);
+  if (!Fresh && Known->second == Reachable)
+    return;
+  Known->second = Reachable;
+  router::logEvent(Reachable ? schema::INFO : schema::WARN,
+                   Reachable ? "store_reached" : "store_lost",
+                   {{"table", Table}, {"detail", Detail}});
+}
+
+void StoreWatch::takeConfig(const platform::Rows &Changes) {
+  for (const platform::Row &Each : Changes.m_Rows) {
+    if (Each.m_Key != platform::ConfigKey || Each.m_Dropped)
+      continue;
+    try {
+      decide::RoutingConfig Fresh = platform::decodeConfig(Each.m_Value);
+      const std::uint64_t Version = Fresh.m_Version;
+      if (!m_Shared.m_Routes.adopt(std::move(Fresh)))
+        continue;
+      router::logEvent(schema::INFO, "config_adopted",
+                       {{"version", std::to_string(Version)},
+                        {"source", "store"},
+                        {"row", std::to_string(Each.m_Version)}});
+      m_OnConfig();
+    } catch (const Error &Wrong) {
+      m_Shared.m_Metrics.counted("config_unreadable");
+      router::logEvent(schema::ERROR, "config_unreadable",
+                       {{"row", std::to_string(Each.m_Version)},
+                        {"detail", Wrong.what()}});
+    }
+  }
+}
+
+void StoreWatch::takeRegistry(const platform::Rows &Changes, bool Whole) {
+  std::vector<decide::EndpointRecord> Records;
+  for (const platform::Row &Each : Changes.m_Rows) {
+    if (Each.m_Dropped) {
+      router::logEvent(schema::INFO, "endpoint_gone",
+                       {{"endpoint", Each.m_Key},
+                        {"row", std::to_string(Each.m_Version)}});
+      m_Shared.m_Fleet.remove(EndpointId(Each.m_Key));
+      continue;
+    }
+    try {
+      Records.push_back(platform::decodeEntry(Each.m_Key, Each.m_Value));
+    } catch (const Error &Wrong) {
+      m_Shared.m_Metrics.counted("registry_entry_unreadable");
+      router::logEvent(schema::WARN, "registry_entry_unreadable",
+                       {{"endpoint", Each.m_Key},
+                        {"row", std::to_string(Each.m_Version)},
+                        {"detail", Wrong.what()}});
+      m_Shared.m_Fleet.remove(EndpointId(Each.m_Key));
+    }
+  }
+  for (const decide::EndpointRecord &Each : Records) {
+    const auto *Known = m_Shared.m_Fleet.find(Each.m_Id);
+    if (!Known || Known->m_Record.m_Leaving != Each.m_Leaving ||
+        Known->m_Record.m_Layers != Each.m_Layers)
+      router::logEvent(
+          schema::INFO, "endpoint_seen",
+          {{"endpoint", Each.m_Id.str()},
+           {"address", Each.m_Address},
+           {"leaving", Each.m_Leaving ? "yes" : "no"},
+           {"layers", std::to_string(Each.m_Layers.m_First) + "-" +
+                          std::to_string(Each.m_Layers.m_End)}});
+  }
+  if (Whole)
+    m_Shared.m_Fleet.replaceAll(Records);
+  else
+    for (const decide::EndpointRecord &Each : Records)
+      m_Shared.m_Fleet.put(Each);
+  m_Shared.m_RegistryRead = true;
+}
+
+} // namespace mimosadale::forward
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -38,7 +38,7 @@
   To.version(11);
   To.result(From.m_Status);
   for (const HttpHeader &Each : From.m_Headers)
-    To.set(Each.m_Name, Each.m_Value);
+    To.insert(Each.m_Name, Each.m_Value);
   To.keep_alive(KeepAlive);
   To.body() = From.m_Body;
   To.prepare_payload();
@@ -63,6 +63,30 @@
   std::uint64_t connection() const override { return m_Connection; }
   bool keepAlive() const { return m_KeepAlive; }
 
+  ~StreamExchange() override {
+    if (m_Watch)
+      m_Watch->m_Done = true;
+  }
+
+  // The wait outlives the exchange where nothing more is read; it then only
+  // sees that it is done.
+  void watchCaller(std::function<void()> OnGone) override {
+    m_Watch = std::make_shared<CallerWatch>();
+    m_Watch->m_OnGone = std::move(OnGone);
+    auto &Socket = beast::get_lowest_layer(m_Out).socket();
+    Socket.async_wait(tcp::socket::wait_read,
+                      [Watch = m_Watch, &Socket](beast::error_code Code) {
+                        if (Code || Watch->m_Done)
+                          return;
+                        char Byte = 0;
+                        Socket.non_blocking(true, Code);
+                        Socket.receive(asio::buffer(&Byte, 1),
+                                       tcp::socket::message_peek, Code);
+                        if (Code && Code != asio::error::would_block)
+                          Watch->m_OnGone();
+                      });
+  }
+
   asio::awaitable<void> respond(HttpResponse Response) override {
     m_Started = true;
     auto Message = toBeast(Response, m_KeepAlive);
@@ -80,7 +104,7 @@
     Message.version(11);
     Message.result(Head.m_Status);
     for (const HttpHeader &Each : Head.m_Headers)
-      Message.set(Each.m_Name, Each.m_Value);
+      Message.insert(Each.m_Name, Each.m_Value);
     Message.keep_alive(m_KeepAlive);
     Message.chunked(true);
     http::response_serializer<http::empty_body> Serializer(Message);
@@ -120,7 +144,13 @@
 private:
   void arm() { beast::get_lowest_layer(m_Out).expires_after(m_WriteTimeout); }
 
+  struct CallerWatch {
+    std::function<void()> m_OnGone;
+    bool m_Done = false;
+  };
+
   Stream &m_Out;
+  std::shared_ptr<CallerWatch> m_Watch;
   HttpRequest m_Request;
   bool m_KeepAlive;
   bool m_Started = false;
@@ -193,6 +223,18 @@
     });
   }
 
+  void setLimits(ServerLimits Limits) {
+    const std::lock_guard Lock(m_LimitsMutex);
+    m_Limits = Limits;
+  }
+
+  ServerLimits limits() {
+    const std::lock_guard Lock(m_LimitsMutex);
+    return m_Limits;
+  }
+
+  void closeAfterAnswers() { m_Closing = true; }
+
   void reloadTls() {
     if (m_TlsFiles.m_Certificate.empty())
       return;
@@ -263,7 +305,7 @@
     try {
       if (const auto Context = tls()) {
         TlsStream Stream(std::move(Socket), *Context);
-        beast::get_lowest_layer(Stream).expires_after(m_Limits.m_ReadTimeout);
+        beast::get_lowest_layer(Stream).expires_after(limits().m_ReadTimeout);
         co_await Stream.async_handshake(asio::ssl::stream_base::server,
                                         asio::use_awaitable);
         co_await serveStream(Stream, Open);
@@ -279,7 +321,7 @@
 
   template <typename Stream>
   asio::awaitable<void> serveStream(Stream &In, std::size_t Open) {
-    if (Open > m_Limits.m_Connections) {
+    if (Open > limits().m_Connections) {
       co_await refuse(In, ServerRefusal::TooManyConnections);
       co_return;
     }
@@ -288,8 +330,8 @@
     bool KeepAlive = true;
     while (KeepAlive) {
       http::request_parser<http::string_body> Parser;
-      Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_HeaderBytes));
-      Parser.body_limit(m_Limits.m_BodyBytes);
+      Parser.header_limit(static_cast<std::uint32_t>(limits().m_HeaderBytes));
+      Parser.body_limit(limits().m_BodyBytes);
       const beast::error_code Code = co_await readOne(In, Buffer, Parser);
       if (Code) {
         if (auto Refusal =
@@ -298,9 +340,9 @@
         co_return;
       }
       auto Message = Parser.release();
-      KeepAlive = Message.keep_alive() && !m_Stopping;
+      KeepAlive = Message.keep_alive() && !m_Stopping && !m_Closing;
       StreamExchange<Stream> Exchange(In, fromBeast(std::move(Message)),
-                                      KeepAlive, m_Limits.m_WriteTimeout,
+                                      KeepAlive, limits().m_WriteTimeout,
                                       Number);
       beast::get_lowest_layer(In).expires_never();
       co_await m_Hooks.m_Handle(Exchange);
@@ -315,7 +357,7 @@
   readOne(Stream &In, beast::flat_buffer &Buffer, Parser &Into) {
     beast::error_code Code;
     auto Token = asio::redirect_error(asio::use_awaitable, Code);
-    beast::get_lowest_layer(In).expires_after(m_Limits.m_IdleTimeout);
+    beast::get_lowest_layer(In).expires_after(limits().m_IdleTimeout);
     if (Buffer.size() == 0) {
       const std::size_t Got =
           co_await In.async_read_some(Buffer.prepare(4096), Token);
@@ -329,7 +371,7 @@
     // told that it is too slow; a cancelled read leaves it open.
     beast::get_lowest_layer(In).expires_never();
     const auto Limit = std::make_shared<ReadLimit>(In.get_executor());
-    Limit->m_Timer.expires_after(m_Limits.m_ReadTimeout);
+    Limit->m_Timer.expires_after(limits().m_ReadTimeout);
     Limit->m_Timer.async_wait([Limit, &In](beast::error_code Stopped) {
       if (Stopped || Limit->m_Done)
         return;
@@ -352,7 +394,7 @@
     auto Token = asio::redirect_error(asio::use_awaitable, Code);
     auto Message = toBeast(m_Hooks.m_Refuse(Why), false);
     auto &Lowest = beast::get_lowest_layer(Out);
-    Lowest.expires_after(m_Limits.m_WriteTimeout);
+    Lowest.expires_after(limits().m_WriteTimeout);
     co_await http::async_write(Out, Message, Token);
     beast::error_code Ignored;
     Lowest.socket().shutdown(tcp::socket::shutdown_send, Ignored);
@@ -367,6 +409,7 @@
   }
 
   asio::any_io_executor m_Executor;
+  std::mutex m_LimitsMutex; // nothing else is locked while it is held
   ServerLimits m_Limits;
   ServerHooks m_Hooks;
   TlsFiles m_TlsFiles;
@@ -375,6 +418,7 @@
   tcp::acceptor m_Acceptor;
   unsigned short m_Port = 0;
   std::atomic<bool> m_Stopping = false;
+  std::atomic<bool> m_Closing = false;
   std::atomic<std::size_t> m_Open = 0;
   std::atomic<std::uint64_t> m_Accepted = 0;
 };
@@ -388,6 +432,10 @@
 
 void HttpServer::start() { m_State->start(); }
 void HttpServer::stop() { m_State->stop(); }
+void HttpServer::setLimits(ServerLimits Limits) {
+  m_State->setLimits(Limits);
+}
+void HttpServer::closeAfterAnswers() { m_State->closeAfterAnswers(); }
 void HttpServer::reloadTls() { m_State->reloadTls(); }
 unsigned short HttpServer::port() const { return m_State->port(); }
 std::size_t HttpServer::connections() const { return m_State->connections(); }
--- a/packages/net/server.h
+++ b/packages/net/server.h
@@ -38,6 +38,10 @@
   /// Ends the stream as whole. \pre The stream began. \throws NetError.
   virtual boost::asio::awaitable<void> finish() = 0;
 
+  /// Calls \p OnGone once when the caller closes the connection before the
+  /// answer is out. \pre Called at most once an exchange.
+  virtual void watchCaller(std::function<void()> OnGone) = 0;
+
   /// Closes the connection, so that a stream is seen as cut off. \pre None.
   virtual void abort() = 0;
 
@@ -98,6 +102,12 @@
   /// Stops accepting; open connections end after the request they carry.
   void stop();
 
+  /// Applies \p Limits to what is read from now on.
+  void setLimits(ServerLimits Limits);
+
+  /// Ends each open connection after its next answer; goes on accepting.
+  void closeAfterAnswers();
+
   /// Takes the certificate and key anew from their files; open connections keep
   /// theirs. \throws Error, and then keeps the ones in use.
   void reloadTls();
--- a/packages/router/claim_store.cpp
+++ b/packages/router/claim_store.cpp
@@ -1,7 +1,7 @@
 #include "router/claim_store.h"
 
-#include "platform/digest.h"
-#include "platform/platform_error.h"
+#include "store/digest.h"
+#include "store/store_error.h"
 #include "router/context.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,7 +39,7 @@
 std::string claimRowKey(const std::string &Workspace,
                         const std::string &Service, const std::string &Key) {
   return "claim/" + Workspace + "/" + Service + "/" +
-         platform::sha256Hex(Key).substr(0, 32);
+         store::sha256Hex(Key).substr(0, 32);
 }
 
 // A write whose result is awaited; lives on the strand.
@@ -89,7 +89,7 @@
     Row.set_answer_object(Name);
     Row.clear_answer_body();
     co_return true;
-  } catch (const platform::PlatformError &) {
+  } catch (const store::StoreError &) {
     m_Shared.m_Metrics.counted("object_store_failed");
   }
   co_return false;
@@ -141,20 +141,20 @@
 
 asio::awaitable<void>
 ClaimStore::send(std::vector<decide::PendingWrite> Batch) {
-  std::vector<platform::TableWrite> Writes;
+  std::vector<store::TableWrite> Writes;
   Writes.reserve(Batch.size());
   for (const decide::PendingWrite &Each : Batch)
     Writes.push_back({Each.m_Key, Each.m_Expect, Each.m_Value});
   m_Shared.m_Metrics.counted("table_transactions");
   m_Shared.m_Metrics.counted("table_rows", static_cast<double>(Batch.size()));
-  const platform::TableResult Result =
+  const store::TableResult Result =
       co_await m_Shared.m_Table.transact(std::move(Writes));
-  using Kind = platform::TableResult::Kind;
+  using Kind = store::TableResult::Kind;
   const bool Answered =
       Result.m_Kind == Kind::Committed || Result.m_Kind == Kind::Conflict;
   m_Batcher.onDone(Answered, Context::now());
-  std::map<std::string, const platform::TableRow *> Conflicts;
-  for (const platform::TableRow &Each : Result.m_Conflicts)
+  std::map<std::string, const store::TableRow *> Conflicts;
+  for (const store::TableRow &Each : Result.m_Conflicts)
     Conflicts[Each.m_Key] = &Each;
   if (Result.m_Kind == Kind::Unknown)
     m_Shared.m_Metrics.retried(schema::TABLE_ANSWER_LOST);
--- a/packages/router/completion_call.cpp
+++ b/packages/router/completion_call.cpp
@@ -1,7 +1,7 @@
 #include "router/completion_call.h"
 
 #include "decide/trace.h"
-#include "platform/digest.h"
+#include "store/digest.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "router/replies.h"
@@ -29,7 +29,7 @@
 
 std::uint64_t seedOf(const std::string &Key) {
   std::uint64_t Seed = 0;
-  const std::string Digest = platform::sha256Hex(Key);
+  const std::string Digest = store::sha256Hex(Key);
   std::from_chars(Digest.data(), Digest.data() + 16, Seed, 16);
   return Seed;
 }
--- a/packages/router/config_watch.cpp
+++ b/packages/router/config_watch.cpp
@@ -1,7 +1,7 @@
 #include "router/config_watch.h"
 
-#include "platform/digest.h"
-#include "platform/platform_error.h"
+#include "store/digest.h"
+#include "store/store_error.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "router/peer_link.h"
@@ -60,7 +60,7 @@
       co_await lookAtHosts();
     }
     m_Shared.m_Metrics.gauge("platform_up", 1);
-  } catch (const platform::PlatformError &Wrong) {
+  } catch (const store::StoreError &Wrong) {
     m_Shared.m_Metrics.counted("platform_failed");
     m_Shared.m_Metrics.gauge("platform_up", 0);
     logEvent(schema::DEBUG, "platform_failed", {{"detail", Wrong.what()}});
@@ -115,7 +115,7 @@
   const auto Seen = static_cast<Generation>(Row.generation());
   if (m_Adoption.onSeen(Seen, false) != decide::SeenGeneration::Fetch)
     co_return false;
-  adopt(Row, platform::joinSections(Sections));
+  adopt(Row, store::joinSections(Sections));
   co_return true;
 }
 
@@ -123,17 +123,17 @@
 asio::awaitable<std::optional<std::string>>
 ConfigWatch::section(std::string Hash, std::string PeerAddress) {
   if (const auto Config = m_Shared.m_Config.get())
-    for (std::string &Each : platform::splitSections(Config->m_Declared))
-      if (platform::sha256Hex(Each) == Hash)
+    for (std::string &Each : store::splitSections(Config->m_Declared))
+      if (store::sha256Hex(Each) == Hash)
         co_return std::move(Each);
   if (!PeerAddress.empty()) {
     std::string Content = co_await m_Peers.fetchSection(PeerAddress, Hash);
-    if (platform::sha256Hex(Content) == Hash)
+    if (store::sha256Hex(Content) == Hash)
       co_return Content;
   }
   try {
     co_return co_await m_Shared.m_Objects.get(Hash);
-  } catch (const platform::PlatformError &) {
+  } catch (const store::StoreError &) {
     m_Shared.m_Metrics.counted("section_missing");
   }
   co_return std::nullopt;
@@ -162,9 +162,9 @@
 }
 
 asio::awaitable<void> ConfigWatch::lookAtDrains() {
-  const auto Rows = co_await m_Shared.m_Table.scan(platform::DrainPrefix);
+  const auto Rows = co_await m_Shared.m_Table.scan(store::DrainPrefix);
   std::vector<std::string> Draining;
-  for (const platform::TableRow &Each : Rows) {
+  for (const store::TableRow &Each : Rows) {
     schema::DrainRow Row;
     if (Row.ParseFromString(Each.m_Value) && Row.draining())
       Draining.push_back(Row.subject());
--- a/packages/router/context.h
+++ b/packages/router/context.h
@@ -5,9 +5,9 @@
 #include "base/id.h"
 #include "base/units.h"
 #include "net/client.h"
-#include "platform/config_store.h"
-#include "platform/objects.h"
-#include "platform/table.h"
+#include "store/config_store.h"
+#include "store/objects.h"
+#include "store/table.h"
 #include "router/config_table.h"
 #include "router/endpoint_table.h"
 #include "router/metrics.h"
@@ -46,9 +46,9 @@
   EndpointTable m_Endpoints;
   RequestTable m_Requests;
   net::HttpClient m_Client;
-  platform::TableClient m_Table;
-  platform::ObjectClient m_Objects;
-  platform::ConfigStore m_ConfigStore;
+  store::TableClient m_Table;
+  store::ObjectClient m_Objects;
+  store::ConfigStore m_ConfigStore;
   std::atomic<bool> m_Draining = false;
 
 private:
--- a/packages/router/gateway.cpp
+++ b/packages/router/gateway.cpp
@@ -1,6 +1,6 @@
 #include "router/gateway.h"
 
-#include "platform/digest.h"
+#include "store/digest.h"
 #include "router/claim_store.h"
 #include "router/completion_call.h"
 #include "router/context.h"
@@ -96,16 +96,16 @@
   const schema::Workspace *Workspace =
       Config->workspace(Token.substr(0, Token.find('.')));
   const std::string Salt = Workspace ? Workspace->token_salt() : "none";
-  const std::string Given = platform::sha256Hex(Salt + Token);
+  const std::string Given = store::sha256Hex(Salt + Token);
   if (!Workspace ||
-      !platform::equalConstantTime(Given, Workspace->token_sha256()))
+      !store::equalConstantTime(Given, Workspace->token_sha256()))
     return std::nullopt;
   return Caller{*Workspace, Config};
 }
 
 bool Gateway::operatorAllowed(const net::HttpRequest &Request) const {
-  if (platform::equalConstantTime(platform::sha256Hex(bearerOf(Request)),
-                                  platform::sha256Hex(m_OperatorToken)))
+  if (store::equalConstantTime(store::sha256Hex(bearerOf(Request)),
+                                  store::sha256Hex(m_OperatorToken)))
     return true;
   return m_Sealed(Request.m_Body,
                   net::findHeader(Request.m_Headers, "Mimosadale-Key"),
--- a/packages/router/main.cpp
+++ b/packages/router/main.cpp
@@ -1,5 +1,6 @@
 // The router: `mimosadale --config node.toml`.
 #include "base/error.h"
+#include "forward/forward_node.h"
 #include "router/log.h"
 #include "router/node.h"
 #include "router/settings.h"
@@ -7,6 +8,7 @@
 #include <boost/program_options.hpp>
 #include <iostream>
 #include <log4cplus/initializer.h>
+#include <optional>
 
 namespace options = boost::program_options;
 using namespace mimosadale;
@@ -33,10 +35,43 @@
   return Node.run();
 }
 
+schema::ForwardSettings loadForwardOrThrow(const std::string &File) {
+  const auto Loaded = router::loadForwardSettings(File);
+  if (!Loaded.m_Faults.empty())
+    throw Error(schema::describeFaults(Loaded.m_Faults));
+  return Loaded.m_Settings;
+}
+
+int runForwardNode(const std::string &File) {
+  const log4cplus::Initializer Logging;
+  const schema::ForwardSettings Settings = loadForwardOrThrow(File);
+  router::setUpLog(Settings.log(), Settings.name());
+  forward::ForwardNode Node(Settings,
+                            [File] { return loadForwardOrThrow(File); });
+  return Node.run();
+}
+
+// Shows the settings of \p Loaded or their faults; none when the node is to
+// run.
+template <typename Loaded>
+std::optional<int> answerQuestions(const Loaded &From,
+                                   const options::variables_map &Given) {
+  std::cerr << schema::describeFaults(From.m_Faults);
+  if (!From.m_Faults.empty())
+    return ExitBadInput;
+  if (Given.contains("print-config"))
+    std::cout << schema::printToml(From.m_Settings);
+  if (Given.contains("print-config") || Given.contains("check-config"))
+    return ExitFine;
+  return std::nullopt;
+}
+
 int run(int Argc, char **Argv) {
   options::options_description Known("mimosadale: routes model pipelines");
   auto Add = Known.add_options();
   Add("config", options::value<std::string>(), "the settings, a TOML file");
+  Add("forward", "forward to chained engines and plain services of a platform; "
+                 "the file holds such a router's settings");
   Add("check-config", "check the settings and exit");
   Add("print-config", "print the settings in force, without secrets, and exit");
   Add("help", "print this and exit");
@@ -49,14 +84,13 @@
   if (!Given.contains("config"))
     throw options::required_option("--config");
   const std::string File = Given["config"].as<std::string>();
-  const router::LoadedSettings Loaded = router::loadSettings(File);
-  std::cerr << schema::describeFaults(Loaded.m_Faults);
-  if (!Loaded.m_Faults.empty())
-    return ExitBadInput;
-  if (Given.contains("print-config"))
-    std::cout << schema::printToml(Loaded.m_Settings);
-  if (Given.contains("print-config") || Given.contains("check-config"))
-    return ExitFine;
+  if (Given.contains("forward")) {
+    const auto Answer =
+        answerQuestions(router::loadForwardSettings(File), Given);
+    return Answer ? *Answer : runForwardNode(File);
+  }
+  if (const auto Answer = answerQuestions(router::loadSettings(File), Given))
+    return *Answer;
   return runNode(File);
 }
 
--- a/packages/router/operator_rpc.cpp
+++ b/packages/router/operator_rpc.cpp
@@ -1,6 +1,6 @@
 #include "router/operator_rpc.h"
 
-#include "platform/digest.h"
+#include "store/digest.h"
 #include "router/context.h"
 #include "schema/generated/operator_server.h"
 
@@ -103,15 +103,15 @@
     const auto Config = m_Shared.m_Config.get();
     if (!Config)
       return "";
-    for (const std::string &Each : platform::splitSections(Config->m_Declared))
-      if (platform::sha256Hex(Each) == Hash)
-        return platform::encodeBase64(Each);
+    for (const std::string &Each : store::splitSections(Config->m_Declared))
+      if (store::sha256Hex(Each) == Hash)
+        return store::encodeBase64(Each);
     return "";
   }
 
   std::string generation() override {
     const auto Config = m_Shared.m_Config.get();
-    return Config ? platform::encodeBase64(Config->m_Row.SerializeAsString())
+    return Config ? store::encodeBase64(Config->m_Row.SerializeAsString())
                   : "";
   }
 
--- a/packages/router/peer_link.cpp
+++ b/packages/router/peer_link.cpp
@@ -1,6 +1,6 @@
 #include "router/peer_link.h"
 
-#include "platform/digest.h"
+#include "store/digest.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "rpc/operator_caller.h"
@@ -119,8 +119,8 @@
   std::from_chars(KeyId.data(), KeyId.data() + KeyId.size(), Id);
   const schema::PeerKey *Key = key(Id);
   return Key &&
-         platform::equalConstantTime(
-             platform::encodeBase64(platform::hmacSha256(Key->secret(), Body)),
+         store::equalConstantTime(
+             store::encodeBase64(store::hmacSha256(Key->secret(), Body)),
              Mac);
 }
 
@@ -133,7 +133,7 @@
       schema::SealedMessage Sealed;
       Sealed.set_key(Keys.Get(0).id());
       Sealed.set_body(Each.m_Message.SerializeAsString());
-      Sealed.set_mac(platform::hmacSha256(Keys.Get(0).secret(), Sealed.body()));
+      Sealed.set_mac(store::hmacSha256(Keys.Get(0).secret(), Sealed.body()));
       const std::string Bytes = Sealed.SerializeAsString();
       boost::system::error_code Lost;
       m_Socket.send_to(asio::buffer(Bytes),
@@ -166,8 +166,8 @@
   const bool Whole = Sealed.ParseFromString(Bytes);
   const schema::PeerKey *Key = Whole ? key(Sealed.key()) : nullptr;
   if (!Key ||
-      !platform::equalConstantTime(
-          platform::hmacSha256(Key->secret(), Sealed.body()), Sealed.mac()) ||
+      !store::equalConstantTime(
+          store::hmacSha256(Key->secret(), Sealed.body()), Sealed.mac()) ||
       !Message.ParseFromString(Sealed.body())) {
     m_Shared.m_Metrics.counted("peer_seal_wrong");
     return;
@@ -216,7 +216,7 @@
       {"Content-Type", "application/json"},
       {"Mimosadale-Key", std::to_string(Key.id())},
       {"Mimosadale-Mac",
-       platform::encodeBase64(platform::hmacSha256(Key.secret(), Body))}};
+       store::encodeBase64(store::hmacSha256(Key.secret(), Body))}};
   Request.m_Body = Body;
   net::ExchangeOptions Options;
   Options.m_Timeout = AskTimeout;
@@ -289,7 +289,7 @@
         [this, OperatorsAddress](const std::string &Body) {
           return callPeer(OperatorsAddress, Body);
         });
-    return platform::decodeBase64(Caller.generation());
+    return store::decodeBase64(Caller.generation());
   };
   schema::GenerationRow Row;
   try {
@@ -310,7 +310,7 @@
         [this, OperatorsAddress](const std::string &Body) {
           return callPeer(OperatorsAddress, Body);
         });
-    return platform::decodeBase64(Caller.section(Hash));
+    return store::decodeBase64(Caller.section(Hash));
   };
   try {
     co_return co_await offWorkers(std::move(Ask));
--- a/packages/router/service_call.cpp
+++ b/packages/router/service_call.cpp
@@ -1,7 +1,7 @@
 #include "router/service_call.h"
 
-#include "platform/digest.h"
-#include "platform/platform_error.h"
+#include "store/digest.h"
+#include "store/store_error.h"
 #include "router/claim_run.h"
 #include "router/claim_store.h"
 #include "router/context.h"
@@ -157,7 +157,7 @@
   Start.m_Service = ServiceId(Service.name());
   Start.m_Key = std::move(Key);
   Start.m_BodyHash =
-      platform::sha256Hex(m_Forwarded.m_Method + "\n" + m_Forwarded.m_Target +
+      store::sha256Hex(m_Forwarded.m_Method + "\n" + m_Forwarded.m_Target +
                           "\n" + m_Forwarded.m_Body);
   Start.m_Attempt = AttemptId(m_Request.str());
   Start.m_Holder = PeerId(m_Shared.m_Settings.name());
@@ -185,7 +185,7 @@
   if (!Answer.m_Object.empty()) {
     try {
       Response.m_Body = co_await m_Shared.m_Objects.get(Answer.m_Object);
-    } catch (const platform::PlatformError &Wrong) {
+    } catch (const store::StoreError &Wrong) {
       Fault = Wrong.what();
     }
   }
--- a/packages/router/settings.cpp
+++ b/packages/router/settings.cpp
@@ -79,4 +79,17 @@
   return Loaded;
 }
 
+LoadedForwardSettings loadForwardSettings(const std::string &File) {
+  LoadedForwardSettings Loaded;
+  Loaded.m_Faults = schema::parseToml(File, readFile(File), Loaded.m_Settings);
+  const schema::ForwardSettings &Given = Loaded.m_Settings;
+  CrossChecks Check(File, Loaded.m_Faults);
+  Check.address("callers", Given.callers());
+  Check.address("readiness", Given.readiness());
+  Check.address("metrics", Given.metrics());
+  Check.address("peers", Given.peers());
+  Check.address("store.address", Given.store().address());
+  return Loaded;
+}
+
 } // namespace mimosadale::router
--- a/packages/router/settings.h
+++ b/packages/router/settings.h
@@ -20,6 +20,15 @@
 /// keys, bounds, addresses, files. \throws Error when the file cannot be read.
 LoadedSettings loadSettings(const std::string &File);
 
+/// Settings of a forwarding router with every fault found in them.
+struct LoadedForwardSettings {
+  schema::ForwardSettings m_Settings;
+  std::vector<schema::Fault> m_Faults;
+};
+
+/// As `loadSettings`, for a forwarding router. \throws Error.
+LoadedForwardSettings loadForwardSettings(const std::string &File);
+
 /// The content of a small file without its last line end. \throws Error.
 std::string readFile(const std::string &File);
 
--- a/packages/platform/config_store.cpp
+++ b/packages/store/config_store.cpp
@@ -1,12 +1,12 @@
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
-#include "platform/platform_error.h"
+#include "store/store_error.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace mimosadale::platform {
+namespace mimosadale::store {
 
 namespace asio = boost::asio;
 
@@ -20,7 +20,7 @@
   StoredGeneration Stored;
   Stored.m_Version = Row.m_Version;
   if (!Stored.m_Row.ParseFromString(Row.m_Value))
-    throw PlatformError("the row " + Row.m_Key + " is damaged");
+    throw StoreError("the row " + Row.m_Key + " is damaged");
   return Stored;
 }
 
@@ -44,7 +44,7 @@
   for (const std::string &Each : Sections) {
     schema::Declaration Part;
     if (!Part.ParseFromString(Each))
-      throw PlatformError("a section of the declaration is damaged");
+      throw StoreError("a section of the declaration is damaged");
     Whole.MergeFrom(Part);
   }
   return Whole;
@@ -98,7 +98,7 @@
   case TableResult::Kind::NotApplied:
     break;
   }
-  throw PlatformError("the table did not take the declaration; nothing was "
+  throw StoreError("the table did not take the declaration; nothing was "
                       "changed");
 }
 
@@ -111,7 +111,7 @@
     std::optional<StoredGeneration> Found;
     try {
       Found = co_await current();
-    } catch (const PlatformError &) {
+    } catch (const StoreError &) {
       // Tried again after the pause.
     }
     if (Found && Found->m_Row.generation() >= Ours.generation())
@@ -119,8 +119,8 @@
     Pause.expires_after(ReadBackPause);
     co_await Pause.async_wait(asio::use_awaitable);
   }
-  throw PlatformError("the answer of the table was lost, and the row does not "
+  throw StoreError("the answer of the table was lost, and the row does not "
                       "show the change: run status before you apply again");
 }
 
-} // namespace mimosadale::platform
+} // namespace mimosadale::store
--- a/packages/platform/config_store.h
+++ b/packages/store/config_store.h
@@ -1,10 +1,10 @@
 // Declarations in the platform: sections in the object store, one row that
 // names them.
-#ifndef MIMOSADALE_PLATFORM_CONFIG_STORE_H
-#define MIMOSADALE_PLATFORM_CONFIG_STORE_H
+#ifndef MIMOSADALE_STORE_CONFIG_STORE_H
+#define MIMOSADALE_STORE_CONFIG_STORE_H
 
-#include "platform/objects.h"
-#include "platform/table.h"
+#include "store/objects.h"
+#include "store/table.h"
 #include "schema/generated/declaration.pb.h"
 #include "schema/generated/rows.pb.h"
 
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosadale::platform {
+namespace mimosadale::store {
 
 /// Key of the row that names the configuration in force.
 inline constexpr const char *GenerationKey = "config/current";
@@ -31,7 +31,7 @@
 /// field set. Safe from any thread.
 std::vector<std::string> splitSections(const schema::Declaration &Whole);
 
-/// Puts sections together again. \throws PlatformError when one is damaged.
+/// Puts sections together again. \throws StoreError when one is damaged.
 schema::Declaration joinSections(const std::vector<std::string> &Sections);
 
 /// Reads and writes the configuration in force.
@@ -43,16 +43,16 @@
   /// \pre Both clients outlive this object.
   ConfigStore(TableClient &Table, ObjectClient &Objects);
 
-  /// The row in force; none before the first apply. \throws PlatformError.
+  /// The row in force; none before the first apply. \throws StoreError.
   boost::asio::awaitable<std::optional<StoredGeneration>> current();
 
-  /// The declaration that \p Row names. \throws PlatformError.
+  /// The declaration that \p Row names. \throws StoreError.
   boost::asio::awaitable<schema::Declaration> load(schema::GenerationRow Row);
 
   /// Writes \p Next as the generation after \p Seen, if \p Seen still is in
   /// force. A lost answer is settled by reading the row back.
   /// \returns the generation now in force: of \p Next, or of the operator who
-  /// came first. \throws PlatformError when the outcome stays unknown.
+  /// came first. \throws StoreError when the outcome stays unknown.
   boost::asio::awaitable<StoredGeneration> apply(schema::Declaration Next,
                                                  StoredGeneration Seen,
                                                  std::string Author,
@@ -65,6 +65,6 @@
   ObjectClient &m_Objects;
 };
 
-} // namespace mimosadale::platform
+} // namespace mimosadale::store
 
 #endif
--- a/packages/platform/digest.cpp
+++ b/packages/store/digest.cpp
@@ -1,4 +1,4 @@
-#include "platform/digest.h"
+#include "store/digest.h"
 
 #include "base/error.h"
 
@@ -8,7 +8,7 @@
 #include <openssl/hmac.h>
 #include <sstream>
 
-namespace mimosadale::platform {
+namespace mimosadale::store {
 
 namespace {
 
@@ -71,4 +71,4 @@
          CRYPTO_memcmp(A.data(), B.data(), A.size()) == 0;
 }
 
-} // namespace mimosadale::platform
+} // namespace mimosadale::store
--- a/packages/platform/digest.h
+++ b/packages/store/digest.h
@@ -1,10 +1,10 @@
 // Hashes and text encodings, by OpenSSL.
-#ifndef MIMOSADALE_PLATFORM_DIGEST_H
-#define MIMOSADALE_PLATFORM_DIGEST_H
+#ifndef MIMOSADALE_STORE_DIGEST_H
+#define MIMOSADALE_STORE_DIGEST_H
 
 #include <string>
 
-namespace mimosadale::platform {
+namespace mimosadale::store {
 
 /// SHA-256 of \p Bytes in lower-case hexadecimal. Safe from any thread.
 std::string sha256Hex(const std::string &Bytes);
@@ -21,6 +21,6 @@
 /// Compares in time that depends on the lengths only. Safe from any thread.
 bool equalConstantTime(const std::string &A, const std::string &B);
 
-} // namespace mimosadale::platform
+} // namespace mimosadale::store
 
 #endif
--- a/packages/platform/objects.cpp
+++ b/packages/store/objects.cpp
@@ -1,11 +1,11 @@
-#include "platform/objects.h"
+#include "store/objects.h"
 
-#include "platform/digest.h"
-#include "platform/platform_error.h"
+#include "store/digest.h"
+#include "store/store_error.h"
 
 #include <boost/json.hpp>
 
-namespace mimosadale::platform {
+namespace mimosadale::store {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -22,12 +22,12 @@
     net::HttpResponse Response =
         co_await m_Client.exchange(m_Platform, std::move(Request), Options);
     if (Response.m_Status != 200)
-      throw PlatformError(Target + ": status " +
+      throw StoreError(Target + ": status " +
                           std::to_string(Response.m_Status));
     co_return Response;
   } catch (const net::NetError &Wrong) {
     m_Client.forget(m_Platform);
-    throw PlatformError(Target + ": " + Wrong.what());
+    throw StoreError(Target + ": " + Wrong.what());
   }
 }
 
@@ -46,7 +46,7 @@
   Request.m_Target = "/objects/" + Name;
   net::HttpResponse Response = co_await ask(std::move(Request));
   if (sha256Hex(Response.m_Body) != Name)
-    throw PlatformError("object " + Name + " has other content than its name");
+    throw StoreError("object " + Name + " has other content than its name");
   co_return std::move(Response.m_Body);
 }
 
@@ -66,9 +66,9 @@
       Hosts.push_back(std::move(Entry));
     }
   } catch (const boost::system::system_error &Wrong) {
-    throw PlatformError(std::string("the host list: ") + Wrong.what());
+    throw StoreError(std::string("the host list: ") + Wrong.what());
   }
   co_return Hosts;
 }
 
-} // namespace mimosadale::platform
+} // namespace mimosadale::store
--- a/packages/platform/objects.h
+++ b/packages/store/objects.h
@@ -1,6 +1,6 @@
 // Client of the platform's object store and host list.
-#ifndef MIMOSADALE_PLATFORM_OBJECTS_H
-#define MIMOSADALE_PLATFORM_OBJECTS_H
+#ifndef MIMOSADALE_STORE_OBJECTS_H
+#define MIMOSADALE_STORE_OBJECTS_H
 
 #include "base/units.h"
 #include "net/client.h"
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosadale::platform {
+namespace mimosadale::store {
 
 /// Speaks docs/protocols/platform.md. Objects are named by the SHA-256 of their
 /// content, so that they never change and a reader can check them.
@@ -23,15 +23,15 @@
   ObjectClient(net::HttpClient &Client, net::Address Platform,
                Duration Timeout);
 
-  /// Stores \p Bytes. \returns the name. \throws PlatformError.
+  /// Stores \p Bytes. \returns the name. \throws StoreError.
   boost::asio::awaitable<std::string> put(std::string Bytes);
 
-  /// Reads the object \p Name. \throws PlatformError when it is missing or its
+  /// Reads the object \p Name. \throws StoreError when it is missing or its
   /// content does not fit its name.
   boost::asio::awaitable<std::string> get(std::string Name);
 
   /// The platform's list of hosts, which lags behind reality.
-  /// \throws PlatformError.
+  /// \throws StoreError.
   boost::asio::awaitable<std::vector<schema::HostEntry>> hosts();
 
 private:
@@ -42,6 +42,6 @@
   Duration m_Timeout;
 };
 
-} // namespace mimosadale::platform
+} // namespace mimosadale::store
 
 #endif
--- /dev/null
+++ b/packages/store/store_error.h
@@ -0,0 +1,17 @@
+// The error of packages/store.
+#ifndef MIMOSADALE_STORE_PLATFORM_ERROR_H
+#define MIMOSADALE_STORE_PLATFORM_ERROR_H
+
+#include "base/error.h"
+
+namespace mimosadale::store {
+
+/// The platform gave no usable answer.
+class StoreError : public Error {
+public:
+  using Error::Error;
+};
+
+} // namespace mimosadale::store
+
+#endif
--- a/packages/platform/table.cpp
+++ b/packages/store/table.cpp
@@ -1,12 +1,12 @@
-#include "platform/table.h"
+#include "store/table.h"
 
-#include "platform/digest.h"
-#include "platform/platform_error.h"
+#include "store/digest.h"
+#include "store/store_error.h"
 
 #include <boost/json.hpp>
 #include <boost/url/url.hpp>
 
-namespace mimosadale::platform {
+namespace mimosadale::store {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -102,14 +102,14 @@
     const net::HttpResponse Response =
         co_await m_Client.exchange(m_Platform, Request, Options);
     if (Response.m_Status != 200)
-      throw PlatformError("the table answered with status " +
+      throw StoreError("the table answered with status " +
                           std::to_string(Response.m_Status));
     co_return parseRows(Response.m_Body, "rows");
   } catch (const net::NetError &Wrong) {
     m_Client.forget(m_Platform);
-    throw PlatformError(std::string("the table: ") + Wrong.what());
+    throw StoreError(std::string("the table: ") + Wrong.what());
   } catch (const boost::system::system_error &Wrong) {
-    throw PlatformError(std::string("the table: ") + Wrong.what());
+    throw StoreError(std::string("the table: ") + Wrong.what());
   }
 }
 
@@ -128,4 +128,4 @@
   co_return co_await readRows(std::string(Target.buffer()));
 }
 
-} // namespace mimosadale::platform
+} // namespace mimosadale::store
--- a/packages/platform/table.h
+++ b/packages/store/table.h
@@ -1,6 +1,6 @@
 // Client of the platform's transactional table.
-#ifndef MIMOSADALE_PLATFORM_TABLE_H
-#define MIMOSADALE_PLATFORM_TABLE_H
+#ifndef MIMOSADALE_STORE_TABLE_H
+#define MIMOSADALE_STORE_TABLE_H
 
 #include "base/units.h"
 #include "net/client.h"
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosadale::platform {
+namespace mimosadale::store {
 
 /// A row as it stands.
 struct TableRow {
@@ -51,10 +51,10 @@
   /// Writes all rows or none. Never throws for a failing platform.
   boost::asio::awaitable<TableResult> transact(std::vector<TableWrite> Writes);
 
-  /// Reads one row; none when it does not exist. \throws PlatformError.
+  /// Reads one row; none when it does not exist. \throws StoreError.
   boost::asio::awaitable<std::optional<TableRow>> read(std::string Key);
 
-  /// Reads the rows whose keys begin with \p Prefix. \throws PlatformError.
+  /// Reads the rows whose keys begin with \p Prefix. \throws StoreError.
   boost::asio::awaitable<std::vector<TableRow>> scan(std::string Prefix);
 
 private:
@@ -65,6 +65,6 @@
   Duration m_Timeout;
 };
 
-} // namespace mimosadale::platform
+} // namespace mimosadale::store
 
 #endif
--- a/scripts/check_decide.sh
+++ b/scripts/check_decide.sh
@@ -7,7 +7,7 @@
   echo "packages/decide includes a header of I/O, clocks or threads" >&2
   exit 1
 fi
-if grep -nE '::now\(|random_device|#include "(net|platform|router|ctl|rpc|standin)/' \
+if grep -nE '::now\(|random_device|#include "(net|store|router|ctl|rpc|standin)/' \
   packages/decide/*.h packages/decide/*.cpp; then
   echo "packages/decide reads a clock, draws entropy or uses an outer package" >&2
   exit 1
--- a/tests/harness/harness.cpp
+++ b/tests/harness/harness.cpp
@@ -1,8 +1,8 @@
 #include "harness/harness.h"
 
 #include "net/client.h"
-#include "platform/config_store.h"
-#include "platform/digest.h"
+#include "store/config_store.h"
+#include "store/digest.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -235,7 +235,7 @@
     Workspace.set_weight(1);
     Workspace.set_token_salt("salt");
     Workspace.set_token_sha256(
-        platform::sha256Hex(std::string("salt") + Name + ".secret"));
+        store::sha256Hex(std::string("salt") + Name + ".secret"));
   }
 }
 
@@ -379,9 +379,9 @@
 void Fleet::apply() {
   net::HttpClient Client(m_State->m_Io.get_executor());
   const net::Address Where = net::parseAddress(m_Platform);
-  platform::TableClient Table(Client, Where, std::chrono::seconds(5));
-  platform::ObjectClient Objects(Client, Where, std::chrono::seconds(5));
-  platform::ConfigStore Store(Table, Objects);
+  store::TableClient Table(Client, Where, std::chrono::seconds(5));
+  store::ObjectClient Objects(Client, Where, std::chrono::seconds(5));
+  store::ConfigStore Store(Table, Objects);
   const auto wait = [&](auto Task) {
     auto Future =
         asio::co_spawn(m_State->m_Io, std::move(Task), asio::use_future);
@@ -390,7 +390,7 @@
     return Future.get();
   };
   const auto Seen = wait(Store.current());
-  wait(Store.apply(m_Declaration, Seen.value_or(platform::StoredGeneration()),
+  wait(Store.apply(m_Declaration, Seen.value_or(store::StoredGeneration()),
                    "test", "test"));
 }
 
