--- a/packages/decide/retry_budget.cpp
+++ b/packages/decide/retry_budget.cpp
@@ -18,4 +18,32 @@
   return true;
 }
 
+WindowedRetryBudget::Part &WindowedRetryBudget::partAt(Instant Now) {
+  const Duration Length = m_Bounds.m_Window / Parts;
+  const std::int64_t Number = Now.time_since_epoch() / Length;
+  Part &Found = m_Parts[static_cast<std::size_t>(Number) % m_Parts.size()];
+  if (Found.m_Number != Number)
+    Found = Part{Number, 0, 0};
+  return Found;
+}
+
+void WindowedRetryBudget::onFirstTry(Instant Now) { ++partAt(Now).m_First; }
+
+bool WindowedRetryBudget::take(Instant Now, std::size_t Routers) {
+  Part &Present = partAt(Now);
+  double First = 0;
+  double Again = 0;
+  for (const Part &Each : m_Parts) {
+    if (Each.m_Number + static_cast<std::int64_t>(Parts) < Present.m_Number)
+      continue;
+    First += Each.m_First;
+    Again += Each.m_Again;
+  }
+  const double Slack = m_Bounds.m_Slack / static_cast<double>(Routers);
+  if (Again + 1 > m_Bounds.m_Fraction * First + Slack)
+    return false;
+  ++Present.m_Again;
+  return true;
+}
+
 } // namespace mimosadale::decide
--- a/packages/decide/retry_budget.h
+++ b/packages/decide/retry_budget.h
@@ -1,7 +1,11 @@
-// A budget that keeps retries a fraction of first tries.
+// Budgets that keep retries a fraction of first tries.
 #ifndef MIMOSADALE_DECIDE_RETRY_BUDGET_H
 #define MIMOSADALE_DECIDE_RETRY_BUDGET_H
 
+#include "base/units.h"
+
+#include <array>
+
 namespace mimosadale::decide {
 
 /// Each first try pays in a fraction of a retry, each retry takes a whole one.
@@ -31,6 +35,46 @@
   double m_Left;
 };
 
+/// A bound on retries in every window of time, shared by several routers: in
+/// any window of the length given, at most `Fraction` of the first tries of the
+/// same window and this router's part of a slack.
+///
+/// \par Thread safety
+/// None.
+class WindowedRetryBudget {
+public:
+  struct Bounds {
+    double m_Fraction = 0.2;
+    double m_Slack = 50; // a window, over all routers
+    Duration m_Window = std::chrono::seconds(10);
+  };
+
+  explicit WindowedRetryBudget(Bounds Limits) : m_Bounds(Limits) {}
+
+  /// Notes a first try. \pre Time does not go back, here and below.
+  void onFirstTry(Instant Now);
+
+  /// Takes one retry; false when the window has no room for it.
+  /// \param Routers that share the slack, this one included.
+  bool take(Instant Now, std::size_t Routers);
+
+private:
+  // Parts that a window is counted in; one more part is always looked back on,
+  // so that no window of the stated length is exceeded.
+  static constexpr std::size_t Parts = 20;
+
+  struct Part {
+    std::int64_t m_Number = -1;
+    unsigned m_First = 0;
+    unsigned m_Again = 0;
+  };
+
+  Part &partAt(Instant Now);
+
+  Bounds m_Bounds;
+  std::array<Part, Parts + 1> m_Parts{};
+};
+
 } // namespace mimosadale::decide
 
 #endif
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -91,7 +91,7 @@
     m_CallerGone = true;
     end(Ended::CallerGone);
   });
-  m_Shared.budgetOf(m_Service).onFirstTry();
+  m_Shared.budgetOf(m_Service).onFirstTry(m_Arrived);
   bool More = true;
   while (More) {
     std::optional<Target> To = chooseTarget();
@@ -252,7 +252,8 @@
 
 ForwardStep ForwardCall::fault(SendFault How, const decide::EndpointSet &Lost) {
   return m_Run->onFault(How, Lost, ForwardState::now(), [this] {
-    return m_Shared.budgetOf(m_Service).take();
+    return m_Shared.budgetOf(m_Service).take(ForwardState::now(),
+                                             m_Shared.m_Routers);
   });
 }
 
@@ -264,7 +265,8 @@
     const EndpointId Id = At->m_Record.m_Id;
     m_Shared.suspect(Id, "refused with " + std::to_string(Status));
     Lost.insert(Id);
-  } else if (m_Target.m_Path.empty()) {
+  } else {
+    // Its own queue is full: this request goes elsewhere, others may fit.
     Lost.insert(m_Target.m_Endpoint);
   }
   return fault(SendFault::SaidNotRun, Lost);
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -207,6 +207,7 @@
     while (ForwardState::now() < std::min(Begun + BalancerTime, Most))
       co_await pause(DrainCheckPause);
     m_Callers->stop();
+    m_Callers->closeIdle();
     while (!m_Shared.m_Calls.empty() && ForwardState::now() < Most)
       co_await pause(DrainCheckPause);
     if (!m_Shared.m_Calls.empty())
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -29,12 +29,12 @@
   return &Known.m_Router;
 }
 
-decide::RetryBudget &ForwardState::budgetOf(const ServiceId &Service) {
+decide::WindowedRetryBudget &ForwardState::budgetOf(const ServiceId &Service) {
   const auto &Retries = m_Settings.retries();
-  const double Share = static_cast<double>(Retries.slack()) /
-                       static_cast<double>(m_Routers);
-  return m_Budgets.try_emplace(Service, Retries.fraction(), Share)
-      .first->second;
+  const decide::WindowedRetryBudget::Bounds Bounds{
+      Retries.fraction(), static_cast<double>(Retries.slack()),
+      std::chrono::seconds(Retries.window_seconds())};
+  return m_Budgets.try_emplace(Service, Bounds).first->second;
 }
 
 void ForwardState::suspect(const EndpointId &Endpoint, const std::string &Why) {
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -33,7 +33,7 @@
   const decide::ChainRouter *chainsOf(const ServiceId &Service);
 
   /// The retry budget of \p Service.
-  decide::RetryBudget &budgetOf(const ServiceId &Service);
+  decide::WindowedRetryBudget &budgetOf(const ServiceId &Service);
 
   /// Whether configuration and registry were read, so that requests can be
   /// served.
@@ -55,7 +55,7 @@
   decide::Random m_Random;
   bool m_RegistryRead = false;
   bool m_Stopping = false;
-  std::size_t m_Routers = 1; // routers that share budgets with this one
+  std::size_t m_Routers = 8; // routers that share budgets with this one
   std::set<ForwardCall *> m_Calls;
 
 private:
@@ -66,7 +66,7 @@
   };
 
   std::map<ServiceId, Chains> m_Chains;
-  std::map<ServiceId, decide::RetryBudget> m_Budgets;
+  std::map<ServiceId, decide::WindowedRetryBudget> m_Budgets;
 };
 
 } // namespace mimosadale::forward
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
+#include <map>
 #include <mutex>
 #include <optional>
 
@@ -235,6 +236,17 @@
 
   void closeAfterAnswers() { m_Closing = true; }
 
+  void closeIdle() {
+    std::vector<std::function<void()>> Closers;
+    {
+      const std::lock_guard Lock(m_IdleMutex);
+      for (const auto &[Number, Close] : m_Idle)
+        Closers.push_back(Close);
+    }
+    for (const auto &Close : Closers)
+      Close();
+  }
+
   void reloadTls() {
     if (m_TlsFiles.m_Certificate.empty())
       return;
@@ -350,6 +362,39 @@
     }
   }
 
+  // Lists a connection as idle while it waits for the first byte of a request.
+  class IdleMark {
+  public:
+    template <typename Stream>
+    IdleMark(State &Server, Stream &In)
+        : m_Server(Server), m_Number(++Server.m_IdleNumber) {
+      const std::lock_guard Lock(Server.m_IdleMutex);
+      Server.m_Idle[m_Number] = [Self = Server.weak_from_this(), &In,
+                                 Number = m_Number] {
+        asio::post(In.get_executor(), [Self, &In, Number] {
+          const auto Alive = Self.lock();
+          if (Alive && Alive->isIdle(Number))
+            beast::get_lowest_layer(In).cancel();
+        });
+      };
+    }
+    ~IdleMark() {
+      const std::lock_guard Lock(m_Server.m_IdleMutex);
+      m_Server.m_Idle.erase(m_Number);
+    }
+    IdleMark(const IdleMark &) = delete;
+    IdleMark &operator=(const IdleMark &) = delete;
+
+  private:
+    State &m_Server;
+    std::uint64_t m_Number;
+  };
+
+  bool isIdle(std::uint64_t Number) {
+    const std::lock_guard Lock(m_IdleMutex);
+    return m_Idle.contains(Number);
+  }
+
   // Waits for a first byte as long as an idle connection may, then for the rest
   // of the request as long as one request may take.
   template <typename Stream, typename Parser>
@@ -359,6 +404,7 @@
     auto Token = asio::redirect_error(asio::use_awaitable, Code);
     beast::get_lowest_layer(In).expires_after(limits().m_IdleTimeout);
     if (Buffer.size() == 0) {
+      const IdleMark Mark(*this, In);
       const std::size_t Got =
           co_await In.async_read_some(Buffer.prepare(4096), Token);
       Buffer.commit(Got);
@@ -409,6 +455,9 @@
   }
 
   asio::any_io_executor m_Executor;
+  std::mutex m_IdleMutex; // nothing else is locked while it is held
+  std::map<std::uint64_t, std::function<void()>> m_Idle;
+  std::atomic<std::uint64_t> m_IdleNumber = 0;
   std::mutex m_LimitsMutex; // nothing else is locked while it is held
   ServerLimits m_Limits;
   ServerHooks m_Hooks;
@@ -435,6 +484,7 @@
 void HttpServer::setLimits(ServerLimits Limits) {
   m_State->setLimits(Limits);
 }
+void HttpServer::closeIdle() { m_State->closeIdle(); }
 void HttpServer::closeAfterAnswers() { m_State->closeAfterAnswers(); }
 void HttpServer::reloadTls() { m_State->reloadTls(); }
 unsigned short HttpServer::port() const { return m_State->port(); }
--- a/packages/net/server.h
+++ b/packages/net/server.h
@@ -108,6 +108,9 @@
   /// Ends each open connection after its next answer; goes on accepting.
   void closeAfterAnswers();
 
+  /// Closes the connections that carry no request now.
+  void closeIdle();
+
   /// Takes the certificate and key anew from their files; open connections keep
   /// theirs. \throws Error, and then keeps the ones in use.
   void reloadTls();
