--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void Fleet::put(const EndpointRecord &Record) {
+void Fleet::put(const EndpointRecord &Record, Instant Now) {
   FleetEndpoint &Known = m_All[Record.m_Id];
   const bool Restarted = Known.m_Record.m_StartedMs != 0 &&
                          Record.m_StartedMs > Known.m_Record.m_StartedMs;
@@ -22,6 +22,8 @@
     Known = FleetEndpoint{};
   if (samePlace(Known.m_Record, Record))
     return;
+  if (Record.m_Leaving && !Known.m_Record.m_Leaving)
+    Known.m_LeavingSince = Now;
   Known.m_Record = Record;
   ++m_Revision;
 }
@@ -31,11 +33,12 @@
     ++m_Revision;
 }
 
-void Fleet::replaceAll(const std::vector<EndpointRecord> &Records) {
+void Fleet::replaceAll(const std::vector<EndpointRecord> &Records,
+                       Instant Now) {
   std::set<EndpointId> Listed;
   for (const EndpointRecord &Each : Records) {
     Listed.insert(Each.m_Id);
-    put(Each);
+    put(Each, Now);
   }
   std::vector<EndpointId> Gone;
   for (const auto &[Id, Known] : m_All)
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -38,6 +38,7 @@
 /// One endpoint with what this router believes of it.
 struct FleetEndpoint {
   EndpointRecord m_Record;
+  Instant m_LeavingSince{}; // when this router heard that it leaves
   bool m_Suspect = false;
   Instant m_SuspectSince{};
   std::string m_SuspectReason;
@@ -59,13 +60,13 @@
 public:
   /// Takes the registry's word. A later start under the same id forgets what
   /// was believed before.
-  void put(const EndpointRecord &Record);
+  void put(const EndpointRecord &Record, Instant Now);
 
   /// The registry dropped \p Id: it gets nothing more.
   void remove(const EndpointId &Id);
 
   /// Replaces the whole registry view; what is not listed is removed.
-  void replaceAll(const std::vector<EndpointRecord> &Records);
+  void replaceAll(const std::vector<EndpointRecord> &Records, Instant Now);
 
   /// Distrusts \p Id until `clear`. \returns whether that is news.
   bool suspect(const EndpointId &Id, const std::string &Why, Instant Now);
--- a/packages/decide/layer_orders.cpp
+++ b/packages/decide/layer_orders.cpp
@@ -10,9 +10,12 @@
 // registry's heartbeat, so that engines which start together are all seen.
 constexpr Duration SettleTime = std::chrono::milliseconds(1500);
 
-// Time after which an accepted order that shows no effect is given up: above
-// the time to load a whole accelerator.
-constexpr Duration OrderTime = std::chrono::seconds(10);
+// Time beyond the load itself after which an accepted order that shows no
+// effect is given up: the registry's heartbeat and several loads at once.
+constexpr Duration OrderSlack = std::chrono::milliseconds(2500);
+
+// Time for which an order without an answer is taken as accepted.
+constexpr Duration UnansweredTime = std::chrono::milliseconds(1500);
 
 // Pause before an engine that refused an order gets another one.
 constexpr Duration RefusedPause = std::chrono::seconds(1);
@@ -23,7 +26,7 @@
   std::erase_if(m_Pending, [&](const auto &Each) {
     const FleetEndpoint *Known = Engines.find(Each.first);
     return !Known || Known->m_Record.m_Layers == Each.second.m_Layers ||
-           Now - Each.second.m_Since > OrderTime;
+           Now > Each.second.m_Until;
   });
   std::erase_if(m_RefusedAt, [&](const auto &Each) {
     return Now - Each.second > RefusedPause;
@@ -57,7 +60,7 @@
   for (const auto &[Id, Each] : m_Pending) {
     EndpointRecord Record = Expected.find(Id)->m_Record;
     Record.m_Layers = Each.m_Layers;
-    Expected.put(Record);
+    Expected.put(Record, Now);
   }
   std::vector<PlaceOrder> Orders = planLayers(Expected, Service, Model);
   std::erase_if(Orders, [&](const PlaceOrder &Each) {
@@ -66,8 +69,19 @@
   return Orders;
 }
 
-void LayerOrders::onSent(const PlaceOrder &Order, Instant Now) {
-  m_Pending[Order.m_Engine] = {Order.m_Layers, Now};
+void LayerOrders::onSent(const PlaceOrder &Order, const EngineModel &Model,
+                         Instant Now) {
+  const double Share =
+      static_cast<double>(Order.m_Layers.m_End - Order.m_Layers.m_First) /
+      Model.m_Layers;
+  m_Pending[Order.m_Engine] = {
+      Order.m_Layers, Now + OrderSlack + fromSeconds(Model.m_LoadSeconds * Share)};
+}
+
+void LayerOrders::onUnanswered(const EndpointId &Engine, Instant Now) {
+  const auto Found = m_Pending.find(Engine);
+  if (Found != m_Pending.end())
+    Found->second.m_Until = Now + UnansweredTime;
 }
 
 void LayerOrders::onRefused(const EndpointId &Engine, Instant Now) {
--- a/packages/decide/layer_orders.h
+++ b/packages/decide/layer_orders.h
@@ -23,7 +23,11 @@
                               const EngineModel &Model, Instant Now);
 
   /// \p Order was accepted, or may have been.
-  void onSent(const PlaceOrder &Order, Instant Now);
+  void onSent(const PlaceOrder &Order, const EngineModel &Model, Instant Now);
+
+  /// The answer to an order of \p Engine was lost: if the engine does not show
+  /// its effect soon, the order is planned anew.
+  void onUnanswered(const EndpointId &Engine, Instant Now);
 
   /// \p Engine refused an order: it is left alone for a while.
   void onRefused(const EndpointId &Engine, Instant Now);
@@ -34,7 +38,7 @@
 private:
   struct Pending {
     LayerRange m_Layers;
-    Instant m_Since{};
+    Instant m_Until{}; // then it is given up
   };
 
   void settle(const Fleet &Engines, Instant Now);
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -1,5 +1,6 @@
 #include "forward/engine_watch.h"
 
+#include "forward/engine_client.h"
 #include "forward/forward_call.h"
 #include "platform/names.h"
 #include "router/log.h"
@@ -51,6 +52,7 @@
   for (ForwardCall *Each : Calls)
     Each->onTick(Now);
   askOverdue(Now);
+  askAccused(Now);
   askSuspects(Now);
   askLoads(Now);
   m_Shared.m_Pool->closeIdle(CloseIdleAfter);
@@ -62,6 +64,14 @@
       askOnce(First, Now, OverdueInterval);
 }
 
+// Engines because of which a request was refused: their own report tells
+// whether they are lost or only full.
+void EngineWatch::askAccused(Instant Now) {
+  const std::set<EndpointId> Accused = std::exchange(m_Shared.m_Accused, {});
+  for (const EndpointId &Each : Accused)
+    askOnce(Each, Now, OverdueInterval);
+}
+
 void EngineWatch::askSuspects(Instant Now) {
   for (const auto &[Id, Known] : m_Shared.m_Fleet.all())
     if (Known.m_Suspect && Now - Known.m_SuspectSince > DistrustTime)
@@ -97,18 +107,12 @@
     co_return;
   net::HttpRequest Request;
   Request.m_Target = platform::ReportPath;
-  Request.m_Headers.push_back(
-      {platform::ExpectInstanceHeader, Endpoint.str()});
-  net::ExchangeOptions Options;
-  Options.m_Timeout = ReportTimeout;
-  Options.m_ConnectTimeout = ReportTimeout;
-  const net::Address At = net::parseAddress(Known->m_Record.m_Address);
   const bool Plain = Known->m_Record.m_Accelerator.empty();
   std::string Fault;
   m_Shared.m_Metrics.counted("report_asked");
   try {
     const net::HttpResponse Response =
-        co_await m_Shared.m_Client.exchange(At, Request, Options);
+        co_await callEngine(m_Shared, Endpoint, Request, ReportTimeout);
     if (Response.m_Status == 200)
       take(Endpoint, platform::decodeReport(Response.m_Body));
     else if (Plain && Response.m_Status != 421)
--- a/packages/forward/engine_watch.h
+++ b/packages/forward/engine_watch.h
@@ -24,6 +24,7 @@
 private:
   void tick();
   void askOverdue(Instant Now);
+  void askAccused(Instant Now);
   void askSuspects(Instant Now);
   void askLoads(Instant Now);
   void askOnce(const EndpointId &Endpoint, Instant Now, Duration Interval);
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -14,8 +14,10 @@
 
 namespace {
 
-// When a caller may come back after a refusal for want of an endpoint.
-constexpr Duration ComeBack = std::chrono::milliseconds(700);
+// When callers may come back after a refusal for want of an endpoint: after a
+// hole in a chain is filled, spread so that they do not return all at once.
+constexpr Duration ComeBackFirst = std::chrono::milliseconds(1500);
+constexpr Duration ComeBackLast = std::chrono::milliseconds(4000);
 
 // Time within which a connection to an endpoint must be there: twice a lost
 // opening packet's way inside a region.
@@ -30,6 +32,14 @@
 // after which the engines are asked what it waits for.
 constexpr Duration OverduePause = std::chrono::milliseconds(250);
 
+// Time after which a refusal means that an engine of the path is lost: engines
+// answer at once when they are full.
+constexpr Duration RefusalOfLost = std::chrono::milliseconds(900);
+
+// Pause after which a path is given up even if no engine is known to be lost:
+// before callers leave, which they do after two seconds.
+constexpr Duration LongestPause = std::chrono::milliseconds(1300);
+
 // Whole answers longer than this are not taken in one piece.
 constexpr std::size_t MostAnswerBytes = 16u << 20;
 
@@ -48,9 +58,17 @@
 
 ForwardCall::~ForwardCall() { m_Shared.m_Calls.erase(this); }
 
+// When this caller may come back.
+Duration ForwardCall::comeBack() {
+  std::uniform_int_distribution<Duration::rep> Spread(ComeBackFirst.count(),
+                                                      ComeBackLast.count());
+  return Duration(Spread(m_Shared.m_Random));
+}
+
 // Finds route, workspace and service. \returns whether the request may go on;
 // otherwise the refusal is set.
 bool ForwardCall::prepare() {
+  const Duration ComeBack = comeBack();
   const auto Refuse = [&](schema::Reason Why, const char *Detail,
                           std::optional<Duration> RetryAfter = std::nullopt) {
     m_Refused = router::refuseUntouched(Why, Detail, RetryAfter);
@@ -100,7 +118,7 @@
       Target Chosen = std::move(*To);
       Step = co_await sendTo(std::move(Chosen));
     } else {
-      Step = m_Run->onNoEndpoint(schema::NO_ENDPOINT, ComeBack);
+      Step = m_Run->onNoEndpoint(schema::NO_ENDPOINT, comeBack());
     }
     if (!Step)
       co_return; // the answer is out
@@ -202,7 +220,7 @@
   m_Ended = Ended::No;
   m_EventSeen = false;
   m_Events.dropPartial();
-  m_LastProgress = ForwardState::now();
+  m_SentAt = m_LastProgress = ForwardState::now();
   m_Waiting = true;
   charge(m_Target, 1);
   std::optional<ForwardStep> Step;
@@ -243,7 +261,7 @@
       if (!Known || !Known->usable())
         Lost.insert(Each.m_Endpoint);
     }
-    if (m_Target.m_Path.empty())
+    if (Lost.empty())
       Lost.insert(m_Target.m_Endpoint);
     return fault(SendFault::Stalled, Lost);
   }
@@ -263,8 +281,13 @@
   decide::EndpointSet Lost;
   if (const auto *At = m_Shared.m_Fleet.findByAddress(Address)) {
     const EndpointId Id = At->m_Record.m_Id;
-    m_Shared.suspect(Id, "refused with " + std::to_string(Status));
     Lost.insert(Id);
+    // A refusal after a stall is that of a lost engine; one at once may mean
+    // that it is full or changes its layers, which its report will tell.
+    if (Status == 503 && ForwardState::now() - m_SentAt > RefusalOfLost)
+      m_Shared.suspect(Id, "refused with 503 after a stall");
+    else
+      m_Shared.m_Accused.insert(Id);
   } else {
     // Its own queue is full: this request goes elsewhere, others may fit.
     Lost.insert(m_Target.m_Endpoint);
@@ -404,7 +427,9 @@
     end(Ended::Timeout);
   else if (m_Run->sends() == 0 && Now - m_LastProgress > ConnectTimeout)
     end(Ended::EngineLost);
-  else if (m_Route->m_Resumable && !overdueAt(Now).empty() && pathLost())
+  else if (m_Route->m_Resumable && !m_Target.m_Path.empty() &&
+           ((!overdueAt(Now).empty() && pathLost()) ||
+            Now - m_LastProgress > LongestPause))
     end(Ended::EngineLost);
 }
 
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -48,6 +48,7 @@
   // Why this router ended a send before the endpoint did.
   enum class Ended { No, Timeout, CallerGone, EngineLost };
 
+  Duration comeBack();
   bool prepare();
   std::optional<Target> chooseTarget();
   std::optional<Target> chooseChain();
@@ -89,6 +90,7 @@
   Ended m_Ended = Ended::No;
   bool m_CallerGone = false;
   bool m_Waiting = false; // for the endpoint
+  Instant m_SentAt{};
   Instant m_LastProgress{};
   bool m_EventSeen = false; // of the present send
   EventSplitter m_Events;
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -57,6 +57,7 @@
   bool m_Stopping = false;
   std::size_t m_Routers = 8; // routers that share budgets with this one
   std::set<ForwardCall *> m_Calls;
+  std::set<EndpointId> m_Accused; // named in refusals since the last check
 
 private:
   struct Chains {
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -1,5 +1,6 @@
 #include "forward/layer_control.h"
 
+#include "forward/engine_client.h"
 #include "platform/endpoint_codec.h"
 #include "platform/lease_codec.h"
 #include "platform/names.h"
@@ -68,7 +69,7 @@
     const auto Fence = m_Lease.fence(ForwardState::now());
     if (!Fence || m_InProgress >= std::max(1u, AtOnce) * 8)
       co_return;
-    m_Orders.onSent(Each, Now);
+    m_Orders.onSent(Each, *Service->m_Engine, Now);
     asio::co_spawn(m_Shared.m_Io, order(Each, *Fence), asio::detached);
   }
 }
@@ -107,33 +108,27 @@
 
 asio::awaitable<void> LayerControl::order(decide::PlaceOrder Order,
                                           std::uint64_t Fence) {
-  const auto *Known = m_Shared.m_Fleet.find(Order.m_Engine);
-  if (!Known)
-    co_return;
   net::HttpRequest Request;
   Request.m_Method = "POST";
   Request.m_Target = platform::OrderPath;
-  Request.m_Headers = {{"Content-Type", "application/json"},
-                       {platform::ExpectInstanceHeader, Order.m_Engine.str()}};
+  Request.m_Headers = {{"Content-Type", "application/json"}};
   Request.m_Body = platform::encodePlaceOrder(Order.m_Layers, Fence);
-  net::ExchangeOptions Options;
-  Options.m_Timeout = OrderTimeout;
-  const net::Address At = net::parseAddress(Known->m_Record.m_Address);
   ++m_InProgress;
   std::string Outcome;
   try {
     const net::HttpResponse Response =
-        co_await m_Shared.m_Client.exchange(At, Request, Options);
+        co_await callEngine(m_Shared, Order.m_Engine, Request, OrderTimeout);
     Outcome = std::to_string(Response.m_Status);
     if (Response.m_Status == 412)
       m_Lease.onFenced(ForwardState::now());
     if (Response.m_Status >= 400)
       m_Orders.onRefused(Order.m_Engine, ForwardState::now());
   } catch (const net::NetError &Wrong) {
-    // It may have been accepted: it stays pending until the engine shows it.
     Outcome = Wrong.what();
     if (Wrong.phase() == net::Phase::Connect)
       m_Orders.onRefused(Order.m_Engine, ForwardState::now());
+    else
+      m_Orders.onUnanswered(Order.m_Engine, ForwardState::now());
   }
   --m_InProgress;
   m_Shared.m_Metrics.counted("order_sent");
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -154,10 +154,10 @@
                           std::to_string(Each.m_Layers.m_End)}});
   }
   if (Whole)
-    m_Shared.m_Fleet.replaceAll(Records);
+    m_Shared.m_Fleet.replaceAll(Records, ForwardState::now());
   else
     for (const decide::EndpointRecord &Each : Records)
-      m_Shared.m_Fleet.put(Each);
+      m_Shared.m_Fleet.put(Each, ForwardState::now());
   m_Shared.m_RegistryRead = true;
 }
 
