--- a/packages/forward/engine_client.cpp
+++ b/packages/forward/engine_client.cpp
@@ -46,16 +46,19 @@
     Limit->m_Cancel = nullptr;
     Limit->m_Timer.cancel();
   });
-  const auto Open = co_await Shared.m_Pool->open(
-      At, MostIdle, [Limit](std::function<void()> Cancel) {
+  std::function<void(std::function<void()>)> Begun =
+      [Limit](std::function<void()> Cancel) {
         Limit->m_Cancel = std::move(Cancel);
-      });
+      };
+  const auto Open =
+      co_await Shared.m_Pool->open(At, MostIdle, std::move(Begun));
   if (Limit->m_Over)
     throw net::NetError(net::Phase::Connect, true, "timed out");
   Limit->m_Cancel = [Exchange = Open.get()] { Exchange->cancel(); };
   co_await Open->send(std::move(Request));
-  net::HttpResponse Answer =
-      co_await Open->readHead([](const net::HttpResponse &) { return true; });
+  std::function<bool(const net::HttpResponse &)> Any =
+      [](const net::HttpResponse &) { return true; };
+  net::HttpResponse Answer = co_await Open->readHead(std::move(Any));
   while (co_await Open->readSome(Answer.m_Body))
     ;
   co_return Answer;
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -311,21 +311,22 @@
   const Duration Idle = m_Route->m_Kind == decide::CallKind::AtMostOnce
                             ? MostIdleOnce
                             : MostIdle;
+  std::function<void(std::function<void()>)> Begun =
+      [this](std::function<void()> Cancel) { m_Cancel = std::move(Cancel); };
   const std::unique_ptr<net::UpstreamExchange> Open =
-      co_await m_Shared.m_Pool->open(
-          To.m_Address, Idle,
-          [this](std::function<void()> Cancel) { m_Cancel = std::move(Cancel); });
+      co_await m_Shared.m_Pool->open(To.m_Address, Idle, std::move(Begun));
   m_Cancel = [Exchange = Open.get()] { Exchange->cancel(); };
   if (m_Ended != Ended::No)
     throw net::NetError(net::Phase::Connect, true, "ended while connecting");
   m_Run->beforeSend(To.m_Endpoint);
   net::HttpRequest Request = encode(To);
   co_await Open->send(std::move(Request));
-  net::HttpResponse Head =
-      co_await Open->readHead([this](const net::HttpResponse &Each) {
+  std::function<bool(const net::HttpResponse &)> IsOurs =
+      [this](const net::HttpResponse &Each) {
         const std::string Id = platform::decodeAnswer(Each).m_RequestId;
         return Id.empty() || Id == m_Facts.m_Id.str();
-      });
+      };
+  net::HttpResponse Head = co_await Open->readHead(std::move(IsOurs));
   m_LastProgress = ForwardState::now();
   net::UpstreamExchange &From = *Open;
   co_return co_await passOn(From, std::move(Head));
