Layers come from the registry, not from lagging reports

Ruled out: orders that were not carried out; each was answered 200. Change: reports bring load only; an order answered 200 confirms the layers.

--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -71,19 +71,22 @@
   return true;
 }
 
-void Fleet::onReport(const EndpointId &Id, LayerRange Layers,
-                     const EngineLoadReport &Load, Instant Now) {
+void Fleet::onReport(const EndpointId &Id, const EngineLoadReport &Load,
+                     Instant Now) {
   const auto Found = m_All.find(Id);
   if (Found == m_All.end())
     return;
-  FleetEndpoint &Known = Found->second;
-  Known.m_Load = Load;
-  Known.m_LoadAt = Now;
-  Known.m_KvSinceReport = 0;
-  if (Known.m_Record.m_Layers != Layers) {
-    Known.m_Record.m_Layers = Layers;
-    ++m_Revision;
-  }
+  Found->second.m_Load = Load;
+  Found->second.m_LoadAt = Now;
+  Found->second.m_KvSinceReport = 0;
+}
+
+void Fleet::onLayersHeld(const EndpointId &Id, LayerRange Layers) {
+  const auto Found = m_All.find(Id);
+  if (Found == m_All.end() || Found->second.m_Record.m_Layers == Layers)
+    return;
+  Found->second.m_Record.m_Layers = Layers;
+  ++m_Revision;
 }
 
 void Fleet::countFirstStage(const EndpointId &Id, int Change) {
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -74,9 +74,13 @@
   /// Trusts \p Id again: it answered a probe. \returns whether that is news.
   bool clear(const EndpointId &Id);
 
-  /// Takes the layers and load that \p Id itself reported.
-  void onReport(const EndpointId &Id, LayerRange Layers,
-                const EngineLoadReport &Load, Instant Now);
+  /// Takes the load that \p Id itself reported. Its layers are the registry's
+  /// matter: a report lags behind it.
+  void onReport(const EndpointId &Id, const EngineLoadReport &Load,
+                Instant Now);
+
+  /// \p Id confirmed that it holds \p Layers.
+  void onLayersHeld(const EndpointId &Id, LayerRange Layers);
 
   /// Counts a request of this router in or out; \p Kv in tokens times layers.
   void countFirstStage(const EndpointId &Id, int Change);
--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -61,7 +61,10 @@
 
 void planFresh(const Members &All, const EngineModel &Model,
                std::vector<PlaceOrder> &Into) {
-  for (const Members &Chain : deal(All, chainCount(All, Model))) {
+  const std::size_t Chains = chainCount(All, Model);
+  if (Chains == 0)
+    return;
+  for (const Members &Chain : deal(All, Chains)) {
     std::vector<double> Memory;
     for (const Member &Each : Chain)
       Memory.push_back(Each.m_MemoryMb);
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -129,7 +129,7 @@
 void EngineWatch::take(const EndpointId &Endpoint,
                        const platform::EngineReport &Report) {
   const Instant Now = ForwardState::now();
-  m_Shared.m_Fleet.onReport(Endpoint, Report.m_Layers, Report.m_Load, Now);
+  m_Shared.m_Fleet.onReport(Endpoint, Report.m_Load, Now);
   if (m_Shared.m_Fleet.clear(Endpoint))
     router::logEvent(schema::INFO, "endpoint_trusted",
                      {{"endpoint", Endpoint.str()}});
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -247,6 +247,7 @@
     }
   }
   m_Waiting = false;
+  m_Connecting = false;
   m_Cancel = nullptr;
   charge(m_Target, -1);
   co_return Step;
@@ -311,10 +312,12 @@
   const Duration Idle = m_Route->m_Kind == decide::CallKind::AtMostOnce
                             ? MostIdleOnce
                             : MostIdle;
+  m_Connecting = true;
   std::function<void(std::function<void()>)> Begun =
       [this](std::function<void()> Cancel) { m_Cancel = std::move(Cancel); };
   const std::unique_ptr<net::UpstreamExchange> Open =
       co_await m_Shared.m_Pool->open(To.m_Address, Idle, std::move(Begun));
+  m_Connecting = false;
   m_Cancel = [Exchange = Open.get()] { Exchange->cancel(); };
   if (m_Ended != Ended::No)
     throw net::NetError(net::Phase::Connect, true, "ended while connecting");
@@ -426,7 +429,7 @@
     return;
   if (Now >= m_Run->end())
     end(Ended::Timeout);
-  else if (m_Run->sends() == 0 && Now - m_LastProgress > ConnectTimeout)
+  else if (m_Connecting && Now - m_LastProgress > ConnectTimeout)
     end(Ended::EngineLost);
   else if (m_Route->m_Resumable && !m_Target.m_Path.empty() &&
            ((!overdueAt(Now).empty() && pathLost()) ||
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -90,6 +90,7 @@
   Ended m_Ended = Ended::No;
   bool m_CallerGone = false;
   bool m_Waiting = false; // for the endpoint
+  bool m_Connecting = false;
   Instant m_SentAt{};
   Instant m_LastProgress{};
   bool m_EventSeen = false; // of the present send
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -121,6 +121,8 @@
     Outcome = std::to_string(Response.m_Status);
     if (Response.m_Status == 412)
       m_Lease.onFenced(ForwardState::now());
+    if (Response.m_Status == 200)
+      m_Shared.m_Fleet.onLayersHeld(Order.m_Engine, Order.m_Layers);
     if (Response.m_Status >= 400)
       m_Orders.onRefused(Order.m_Engine, ForwardState::now());
   } catch (const net::NetError &Wrong) {
