A request that is cut by the end of a drain no longer touches freed tables

Ruled out: the plan and feed loops, which are bounded. Change: each request holds the set of requests itself.

--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -47,8 +47,8 @@
 
 void EngineWatch::tick() {
   const Instant Now = ForwardState::now();
-  const std::vector<ForwardCall *> Calls(m_Shared.m_Calls.begin(),
-                                         m_Shared.m_Calls.end());
+  const std::vector<ForwardCall *> Calls(m_Shared.m_Calls->begin(),
+                                         m_Shared.m_Calls->end());
   for (ForwardCall *Each : Calls)
     Each->onTick(Now);
   askOverdue(Now);
@@ -59,7 +59,7 @@
 }
 
 void EngineWatch::askOverdue(Instant Now) {
-  for (const ForwardCall *Each : m_Shared.m_Calls)
+  for (const ForwardCall *Each : *m_Shared.m_Calls)
     if (const EndpointId First = Each->overdueAt(Now); !First.empty())
       askOnce(First, Now, OverdueInterval);
 }
@@ -81,7 +81,7 @@
 // Asks the engine with the least room of each chain, while there is traffic.
 void EngineWatch::askLoads(Instant Now) {
   const auto &Routes = m_Shared.m_Routes.current();
-  if (!Routes || m_Shared.m_Calls.empty())
+  if (!Routes || m_Shared.m_Calls->empty())
     return;
   for (const decide::ServiceInfo &Each : Routes->config().m_Services) {
     const decide::ChainRouter *Chains = m_Shared.chainsOf(Each.m_Name);
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -51,12 +51,12 @@
 } // namespace
 
 ForwardCall::ForwardCall(ForwardState &Shared, net::HttpExchange &Exchange)
-    : m_Shared(Shared), m_Exchange(Exchange), m_Arrived(ForwardState::now()),
+    : m_Shared(Shared), m_Calls(Shared.m_Calls), m_Exchange(Exchange), m_Arrived(ForwardState::now()),
       m_Facts(platform::decodeRequest(Exchange.request())) {
-  m_Shared.m_Calls.insert(this);
+  m_Calls->insert(this);
 }
 
-ForwardCall::~ForwardCall() { m_Shared.m_Calls.erase(this); }
+ForwardCall::~ForwardCall() { m_Calls->erase(this); }
 
 // When this caller may come back.
 Duration ForwardCall::comeBack() {
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -75,6 +75,7 @@
   void logOutcome(const std::string &Outcome, unsigned Status);
 
   ForwardState &m_Shared;
+  std::shared_ptr<std::set<ForwardCall *>> m_Calls;
   net::HttpExchange &m_Exchange;
   const Instant m_Arrived;
   platform::RequestFacts m_Facts;
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -197,7 +197,7 @@
   // elsewhere; then each connection ends after the answer in progress.
   asio::awaitable<void> drain() {
     router::logEvent(schema::INFO, "draining",
-                     {{"requests", std::to_string(m_Shared.m_Calls.size())}});
+                     {{"requests", std::to_string(m_Shared.m_Calls->size())}});
     m_Shared.m_Stopping = true;
     const Instant Begun = ForwardState::now();
     const Instant Most =
@@ -208,12 +208,12 @@
       co_await pause(DrainCheckPause);
     m_Callers->stop();
     m_Callers->closeIdle();
-    while (!m_Shared.m_Calls.empty() && ForwardState::now() < Most)
+    while (!m_Shared.m_Calls->empty() && ForwardState::now() < Most)
       co_await pause(DrainCheckPause);
-    if (!m_Shared.m_Calls.empty())
+    if (!m_Shared.m_Calls->empty())
       router::logEvent(
           schema::WARN, "drain_timeout",
-          {{"requests", std::to_string(m_Shared.m_Calls.size())}});
+          {{"requests", std::to_string(m_Shared.m_Calls->size())}});
   }
 
   asio::io_context m_Io{1};
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -14,6 +14,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <memory>
 #include <set>
 
 namespace mimosadale::forward {
@@ -56,7 +57,10 @@
   bool m_RegistryRead = false;
   bool m_Stopping = false;
   std::size_t m_Routers = 8; // routers that share budgets with this one
-  std::set<ForwardCall *> m_Calls;
+  // Requests in progress. Their coroutines may be destroyed with the I/O
+  // context, after this object, so each holds the set itself.
+  std::shared_ptr<std::set<ForwardCall *>> m_Calls =
+      std::make_shared<std::set<ForwardCall *>>();
   std::set<EndpointId> m_Accused; // named in refusals since the last check
 
 private:
