Places of the first engine count; connections end with a drain; slack grows after a restart

Change: a drain ends each connection after its answer; a new router's slack grows over one window; a chain whose first engine is full gets nothing.

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -116,8 +116,20 @@
       Add(std::move(Stages));
 }
 
-double ChainRouter::fill(const Fleet &Engines, const Chain &Of) const {
-  double Most = 0;
+double ChainRouter::fill(const Fleet &Engines, const Chain &Of,
+                         Instant Now) const {
+  const FleetEndpoint *First = Engines.find(Of.m_Stages.front().m_Endpoint);
+  if (!First || Now < First->m_FullUntil)
+    return 1;
+  const unsigned Running =
+      First->m_Load ? First->m_Load->m_Running + First->m_Load->m_Queued +
+                          First->m_SentSinceReport
+                    : 0;
+  double Most = m_Model.m_FirstStageSlots > 0
+                    ? static_cast<double>(
+                          std::max(Running, First->m_InFlight)) /
+                          m_Model.m_FirstStageSlots
+                    : 0;
   for (const StagePlan &Each : Of.m_Stages) {
     const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
     if (!Known)
@@ -135,7 +147,8 @@
 
 const Chain *ChainRouter::choose(const Fleet &Engines, const RequestSize &Size,
                                  const DataCentreId &Here,
-                                 const EndpointSet &Avoid, Random &Rng) const {
+                                 const EndpointSet &Avoid, Instant Now,
+                                 Random &Rng) const {
   struct Option {
     const Chain *m_Chain;
     double m_Fill;
@@ -145,7 +158,9 @@
   for (const Chain &Each : m_Chains) {
     if (touches(Each.m_Stages, Avoid) || Size.tokens() > Each.m_RoomTokens)
       continue;
-    double Fill = fill(Engines, Each);
+    const double Fill = fill(Engines, Each, Now);
+    if (Fill >= 1)
+      continue;
     Options.push_back({&Each, Fill});
     Free.push_back(std::max(0.01, 1 - Fill) * Each.m_RoomTokens);
   }
--- a/packages/decide/chain_router.h
+++ b/packages/decide/chain_router.h
@@ -43,10 +43,11 @@
   /// one is taken, so that routers with equally old reports spread out.
   const Chain *choose(const Fleet &Engines, const RequestSize &Size,
                       const DataCentreId &Here, const EndpointSet &Avoid,
-                      Random &Rng) const;
+                      Instant Now, Random &Rng) const;
 
-  /// The part of the tightest stage of \p Of that is taken, 1 for full.
-  double fill(const Fleet &Engines, const Chain &Of) const;
+  /// The part of \p Of that is taken, 1 for full: of the memory of its tightest
+  /// stage, or of the places of its first one.
+  double fill(const Fleet &Engines, const Chain &Of, Instant Now) const;
 
   const std::vector<Chain> &chains() const { return m_Chains; }
 
--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -79,6 +79,12 @@
   Found->second.m_Load = Load;
   Found->second.m_LoadAt = Now;
   Found->second.m_KvSinceReport = 0;
+  Found->second.m_SentSinceReport = 0;
+}
+
+void Fleet::onFull(const EndpointId &Id, Instant Until) {
+  if (const auto Found = m_All.find(Id); Found != m_All.end())
+    Found->second.m_FullUntil = Until;
 }
 
 void Fleet::onLayersHeld(const EndpointId &Id, LayerRange Layers) {
@@ -91,9 +97,13 @@
 
 void Fleet::countFirstStage(const EndpointId &Id, int Change) {
   const auto Found = m_All.find(Id);
-  if (Found != m_All.end())
-    Found->second.m_InFlight = static_cast<unsigned>(
-        std::max(0, static_cast<int>(Found->second.m_InFlight) + Change));
+  if (Found == m_All.end())
+    return;
+  FleetEndpoint &Known = Found->second;
+  Known.m_InFlight = static_cast<unsigned>(
+      std::max(0, static_cast<int>(Known.m_InFlight) + Change));
+  if (Change > 0)
+    ++Known.m_SentSinceReport;
 }
 
 void Fleet::countMemory(const EndpointId &Id, double Kv) {
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -44,6 +44,8 @@
   std::string m_SuspectReason;
   unsigned m_Faults = 0;      // in a row
   unsigned m_InFlight = 0;    // requests of this router, as first stage
+  unsigned m_SentSinceReport = 0; // as first stage, by this router
+  Instant m_FullUntil{};          // it refused a request for want of a place
   double m_KvInFlight = 0;    // tokens times layers, of this router
   double m_KvSinceReport = 0; // sent by this router since the last report
   std::optional<EngineLoadReport> m_Load;
@@ -79,6 +81,9 @@
   void onReport(const EndpointId &Id, const EngineLoadReport &Load,
                 Instant Now);
 
+  /// \p Id refused a request for want of a place: it gets none until \p Until.
+  void onFull(const EndpointId &Id, Instant Until);
+
   /// \p Id confirmed that it holds \p Layers.
   void onLayersHeld(const EndpointId &Id, LayerRange Layers);
 
--- a/packages/decide/retry_budget.cpp
+++ b/packages/decide/retry_budget.cpp
@@ -39,7 +39,9 @@
     First += Each.m_First;
     Again += Each.m_Again;
   }
-  const double Slack = m_Bounds.m_Slack / static_cast<double>(Routers);
+  const double Grown =
+      std::min(1.0, seconds(Now - m_Begun) / seconds(m_Bounds.m_Window));
+  const double Slack = Grown * m_Bounds.m_Slack / static_cast<double>(Routers);
   if (Again + 1 > m_Bounds.m_Fraction * First + Slack)
     return false;
   ++Present.m_Again;
--- a/packages/decide/retry_budget.h
+++ b/packages/decide/retry_budget.h
@@ -49,7 +49,11 @@
     Duration m_Window = std::chrono::seconds(10);
   };
 
-  explicit WindowedRetryBudget(Bounds Limits) : m_Bounds(Limits) {}
+  /// \param Begun when this router started. What it sent before a restart is
+  /// not known any more, so its part of the slack grows from nothing over the
+  /// first window.
+  WindowedRetryBudget(Bounds Limits, Instant Begun)
+      : m_Bounds(Limits), m_Begun(Begun) {}
 
   /// Notes a first try. \pre Time does not go back, here and below.
   void onFirstTry(Instant Now);
@@ -72,6 +76,7 @@
   Part &partAt(Instant Now);
 
   Bounds m_Bounds;
+  Instant m_Begun;
   std::array<Part, Parts + 1> m_Parts{};
 };
 
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -78,7 +78,8 @@
       askOnce(Id, Now, SuspectInterval);
 }
 
-// Asks the engine with the least room of each chain, while there is traffic.
+// Asks the first engine of each chain, which has the places, and the one with
+// the least room, while there is traffic.
 void EngineWatch::askLoads(Instant Now) {
   const auto &Routes = m_Shared.m_Routes.current();
   if (!Routes || m_Shared.m_Calls->empty())
@@ -87,8 +88,10 @@
     const decide::ChainRouter *Chains = m_Shared.chainsOf(Each.m_Name);
     if (!Chains)
       continue;
-    for (const decide::Chain &Chain : Chains->chains())
+    for (const decide::Chain &Chain : Chains->chains()) {
       askOnce(Chain.m_Tightest, Now, LoadInterval);
+      askOnce(Chain.m_Stages.front().m_Endpoint, Now, LoadInterval);
+    }
   }
 }
 
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -32,6 +32,10 @@
 // after which the engines are asked what it waits for.
 constexpr Duration OverduePause = std::chrono::milliseconds(250);
 
+// Pause after a refusal for want of a place: about the time in which one of a
+// few hundred requests ends.
+constexpr Duration FullPause = std::chrono::milliseconds(60);
+
 // Time after which a refusal means that an engine of the path is lost: engines
 // answer at once when they are full.
 constexpr Duration RefusalOfLost = std::chrono::milliseconds(900);
@@ -167,7 +171,7 @@
       m_Facts.m_Size.value_or(decide::RequestSize{});
   const decide::Chain *Chosen = m_Shared.chainsOf(m_Service)->choose(
       m_Shared.m_Fleet, Size, DataCentreId(m_Shared.m_Settings.data_centre()),
-      m_Run->avoided(), m_Shared.m_Random);
+      m_Run->avoided(), ForwardState::now(), m_Shared.m_Random);
   if (!Chosen)
     return std::nullopt;
   Target To;
@@ -292,6 +296,9 @@
   } else {
     // Its own queue is full: this request goes elsewhere, others may fit.
     Lost.insert(m_Target.m_Endpoint);
+    if (!m_Target.m_Path.empty())
+      m_Shared.m_Fleet.onFull(m_Target.m_Endpoint,
+                              ForwardState::now() + FullPause);
   }
   return fault(SendFault::SaidNotRun, Lost);
 }
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -34,7 +34,7 @@
   const decide::WindowedRetryBudget::Bounds Bounds{
       Retries.fraction(), static_cast<double>(Retries.slack()),
       std::chrono::seconds(Retries.window_seconds())};
-  return m_Budgets.try_emplace(Service, Bounds).first->second;
+  return m_Budgets.try_emplace(Service, Bounds, m_Begun).first->second;
 }
 
 void ForwardState::suspect(const EndpointId &Endpoint, const std::string &Why) {
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -54,6 +54,7 @@
   decide::RouteTableHolder m_Routes;
   decide::Fleet m_Fleet;
   decide::Random m_Random;
+  const Instant m_Begun = now();
   bool m_RegistryRead = false;
   bool m_Stopping = false;
   std::size_t m_Routers = 8; // routers that share budgets with this one
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -358,7 +358,9 @@
                                       Number);
       beast::get_lowest_layer(In).expires_never();
       co_await m_Hooks.m_Handle(Exchange);
-      KeepAlive = Exchange.keepAlive() && Exchange.started();
+      // A stop that began meanwhile ends the connection all the same.
+      KeepAlive = Exchange.keepAlive() && Exchange.started() && !m_Stopping &&
+                  !m_Closing;
     }
   }
 
