Layers are spread again after a loss

Change: a gap goes to as few engines around it as leave room for requests; overlaps are resolved by memory; idle engines relieve the tightest; a tight engine hands layers to a roomier neighbour. Tilings are one copy in decide. Layers are only given up while nothing in the data centre is changing.

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -1,55 +1,18 @@
 #include "decide/chain_router.h"
 
+#include "decide/tiling.h"
+
 #include <algorithm>
 #include <limits>
-#include <set>
 
 namespace mimosadale::decide {
 
 namespace {
 
-constexpr unsigned NoPath = std::numeric_limits<unsigned>::max();
-
 // Part of a chain's room that a chain of another data centre must be emptier
 // by, since the caller's bytes then cross between data centres.
 constexpr double CrossingPenalty = 0.05;
 
-using Candidates = std::vector<const FleetEndpoint *>;
-
-// The tiling of [0, Layers) with the fewest stages.
-Path fewestStages(const Candidates &From, std::uint32_t Layers) {
-  std::vector<unsigned> Stages(Layers + 1, NoPath);
-  std::vector<StagePlan> Last(Layers + 1);
-  Stages[0] = 0;
-  for (std::uint32_t At = 0; At < Layers; ++At) {
-    if (Stages[At] == NoPath)
-      continue;
-    for (const FleetEndpoint *Each : From) {
-      const LayerRange Held = Each->m_Record.m_Layers;
-      const std::uint32_t End = std::min(Held.m_End, Layers);
-      if (Held.m_First > At || End <= At || Stages[At] + 1 >= Stages[End])
-        continue;
-      Stages[End] = Stages[At] + 1;
-      Last[End] = {Each->m_Record.m_Id, {At, End}};
-    }
-  }
-  Path Found;
-  if (Stages[Layers] == NoPath)
-    return Found;
-  for (std::uint32_t At = Layers; At > 0; At = Last[At].m_Layers.m_First)
-    Found.push_back(Last[At]);
-  std::reverse(Found.begin(), Found.end());
-  return Found;
-}
-
-void dropUsed(Candidates &From, const Path &Used) {
-  std::erase_if(From, [&](const FleetEndpoint *Each) {
-    return std::any_of(Used.begin(), Used.end(), [&](const StagePlan &Stage) {
-      return Stage.m_Endpoint == Each->m_Record.m_Id;
-    });
-  });
-}
-
 bool touches(const Path &Stages, const EndpointSet &Avoid) {
   return std::any_of(Stages.begin(), Stages.end(), [&](const StagePlan &Each) {
     return Avoid.contains(Each.m_Endpoint);
@@ -72,15 +35,15 @@
                           const EngineModel &Model) {
   m_Model = Model;
   m_Chains.clear();
-  std::map<DataCentreId, Candidates> ByDataCentre;
-  Candidates All;
+  std::map<DataCentreId, std::vector<StagePlan>> ByDataCentre;
+  std::vector<StagePlan> All;
   for (const auto &[Id, Known] : Engines.all()) {
     const LayerRange Held = Known.m_Record.m_Layers;
     if (Known.m_Record.m_Service != Service || !Known.usable() ||
         Held.m_First >= Held.m_End)
       continue;
-    ByDataCentre[Known.m_Record.m_DataCentre].push_back(&Known);
-    All.push_back(&Known);
+    ByDataCentre[Known.m_Record.m_DataCentre].push_back({Id, Held});
+    All.push_back({Id, Held});
   }
   const auto Add = [&](Path Stages) {
     Chain Fresh;
@@ -102,15 +65,9 @@
     Fresh.m_Stages = std::move(Stages);
     m_Chains.push_back(std::move(Fresh));
   };
-  for (auto &[DataCentre, Left] : ByDataCentre) {
-    while (true) {
-      Path Stages = fewestStages(Left, Model.m_Layers);
-      if (Stages.empty())
-        break;
-      dropUsed(Left, Stages);
+  for (auto &[DataCentre, Left] : ByDataCentre)
+    for (Path &Stages : disjointTilings(Left, Model.m_Layers))
       Add(std::move(Stages));
-    }
-  }
   if (m_Chains.empty())
     if (Path Stages = fewestStages(All, Model.m_Layers); !Stages.empty())
       Add(std::move(Stages));
--- a/packages/decide/layer_orders.cpp
+++ b/packages/decide/layer_orders.cpp
@@ -1,6 +1,7 @@
 #include "decide/layer_orders.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mimosadale::decide {
 
@@ -63,8 +64,18 @@
     Expected.put(Record, Now);
   }
   std::vector<PlaceOrder> Orders = planLayers(Expected, Service, Model);
+  std::set<DataCentreId> Changing;
+  for (const auto &[Id, Each] : m_Pending)
+    Changing.insert(Engines.find(Id)->m_Record.m_DataCentre);
+  // While a data centre changes, no engine gives up what another only is about
+  // to hold.
   std::erase_if(Orders, [&](const PlaceOrder &Each) {
-    return m_RefusedAt.contains(Each.m_Engine);
+    const EndpointRecord &Now = Engines.find(Each.m_Engine)->m_Record;
+    const bool GivesUp = Now.m_Layers.m_First < Each.m_Layers.m_First ||
+                         Now.m_Layers.m_End > Each.m_Layers.m_End;
+    return m_RefusedAt.contains(Each.m_Engine) ||
+           (GivesUp && Now.m_Layers.m_End > 0 &&
+            Changing.contains(Now.m_DataCentre));
   });
   return Orders;
 }
--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -1,5 +1,7 @@
 #include "decide/layer_planner.h"
 
+#include "decide/tiling.h"
+
 #include <algorithm>
 #include <map>
 
@@ -13,8 +15,14 @@
 // Engines that one chain may have: the longest path that an engine accepts.
 constexpr std::size_t MostStages = 32;
 
-// Part of an engine's memory that a widened range leaves for requests.
-constexpr double LeastRequestShare = 0.08;
+// Free part of its memory that an engine keeps at least when a gap is filled.
+constexpr double LeastFree = 0.05;
+
+// Free part below which an engine is tight and hands layers on.
+constexpr double TightFree = 0.28;
+
+// Gain in the free part of the tighter engine below which no layer is moved.
+constexpr double LeastGain = 0.08;
 
 struct Member {
   EndpointId m_Id;
@@ -26,10 +34,6 @@
 
 using Members = std::vector<Member>;
 
-std::uint32_t mostLayers(const Member &Of, double LayerMb, double Reserve) {
-  return static_cast<std::uint32_t>(Of.m_MemoryMb * (1 - Reserve) / LayerMb);
-}
-
 // The chains that a data centre's memory can carry with room for requests.
 std::size_t chainCount(const Members &All, const EngineModel &Model) {
   double Memory = 0;
@@ -46,9 +50,10 @@
 
 // Deals the engines, largest first, to the chain with the least memory.
 std::vector<Members> deal(Members All, std::size_t Chains) {
-  std::stable_sort(All.begin(), All.end(), [](const Member &A, const Member &B) {
-    return A.m_MemoryMb > B.m_MemoryMb;
-  });
+  std::stable_sort(All.begin(), All.end(),
+                   [](const Member &A, const Member &B) {
+                     return A.m_MemoryMb > B.m_MemoryMb;
+                   });
   std::vector<Members> Dealt(Chains);
   std::vector<double> Memory(Chains, 0);
   for (const Member &Each : All) {
@@ -59,86 +64,265 @@
   return Dealt;
 }
 
-void planFresh(const Members &All, const EngineModel &Model,
-               std::vector<PlaceOrder> &Into) {
-  const std::size_t Chains = chainCount(All, Model);
-  if (Chains == 0)
-    return;
-  for (const Members &Chain : deal(All, Chains)) {
+// Plans for the engines of one data centre.
+class DataCentrePlan {
+public:
+  DataCentrePlan(const EngineModel &Model, Members All)
+      : m_Model(Model), m_All(std::move(All)) {}
+
+  std::vector<PlaceOrder> orders() {
+    const bool Empty =
+        std::all_of(m_All.begin(), m_All.end(),
+                    [](const Member &Each) { return Each.layers() == 0; });
+    if (Empty) {
+      dealFresh();
+      return m_Orders;
+    }
+    std::vector<StagePlan> Left;
+    for (const Member &Each : m_All)
+      if (Each.layers() > 0)
+        Left.push_back({Each.m_Id, Each.m_Held});
+    const std::size_t Wanted =
+        std::max<std::size_t>(1, chainCount(m_All, m_Model));
+    const std::vector<Path> Chains = disjointTilings(Left, m_Model.m_Layers);
+    if (Chains.size() < Wanted) {
+      fillGap(Left);
+      return m_Orders;
+    }
+    for (const Path &Each : Chains)
+      if (resolveOverlap(Each))
+        return m_Orders;
+    // Engines that no chain uses are as good as idle.
+    std::vector<EndpointId> Idle;
+    for (const Member &Each : m_All)
+      if (Each.layers() == 0)
+        Idle.push_back(Each.m_Id);
+    for (const StagePlan &Each : Left)
+      Idle.push_back(Each.m_Endpoint);
+    if (!Idle.empty())
+      useIdle(Chains, Idle.front());
+    else
+      balance(Chains);
+    return m_Orders;
+  }
+
+private:
+  Member &member(const EndpointId &Id) {
+    return *std::find_if(m_All.begin(), m_All.end(),
+                         [&](const Member &Each) { return Each.m_Id == Id; });
+  }
+
+  double freePart(const Member &Of, std::uint32_t Layers) const {
+    return 1 - Layers * m_Model.m_LayerMb / Of.m_MemoryMb;
+  }
+
+  void order(const EndpointId &Id, LayerRange Layers) {
+    if (member(Id).m_Held != Layers)
+      m_Orders.push_back({Id, Layers});
+  }
+
+  void dealFresh() {
+    const std::size_t Chains = chainCount(m_All, m_Model);
+    if (Chains == 0)
+      return;
+    for (const Members &Chain : deal(m_All, Chains)) {
+      const auto Ranges = split(Chain, {0, m_Model.m_Layers});
+      for (std::size_t I = 0; I < Ranges.size(); ++I)
+        if (Ranges[I].m_First < Ranges[I].m_End)
+          order(Chain[I].m_Id, Ranges[I]);
+    }
+  }
+
+  // The layers of \p Over for \p Engines in their order; empty if they do not
+  // fit.
+  std::vector<LayerRange> split(const Members &Engines, LayerRange Over) const {
     std::vector<double> Memory;
-    for (const Member &Each : Chain)
-      Memory.push_back(Each.m_MemoryMb);
-    const auto Ranges = splitByMemory(Memory, Model.m_Layers, Model.m_LayerMb);
-    for (std::size_t I = 0; I < Ranges.size(); ++I)
-      if (Ranges[I].m_First < Ranges[I].m_End)
-        Into.push_back({Chain[I].m_Id, Ranges[I]});
+    for (const Member &Each : Engines)
+      Memory.push_back(Each.m_MemoryMb * (1 - LeastFree));
+    std::vector<LayerRange> Ranges = splitByMemory(
+        Memory, Over.m_End - Over.m_First, m_Model.m_LayerMb);
+    for (LayerRange &Each : Ranges) {
+      Each.m_First += Over.m_First;
+      Each.m_End += Over.m_First;
+    }
+    return Ranges;
   }
-}
 
-// Layers that fewer than \p Wanted engines of the data centre hold.
-std::vector<LayerRange> gaps(const Members &All, std::uint32_t Layers,
-                             unsigned Wanted) {
-  std::vector<unsigned> Holders(Layers, 0);
-  for (const Member &Each : All)
-    for (std::uint32_t L = Each.m_Held.m_First;
-         L < std::min(Each.m_Held.m_End, Layers); ++L)
-      ++Holders[L];
-  std::vector<LayerRange> Found;
-  for (std::uint32_t L = 0; L < Layers; ++L) {
-    if (Holders[L] >= Wanted)
-      continue;
-    if (!Found.empty() && Found.back().m_End == L)
-      Found.back().m_End = L + 1;
-    else
-      Found.push_back({L, L + 1});
+  double tightest(const Members &Engines,
+                  const std::vector<LayerRange> &Ranges) const {
+    double Least = 1;
+    for (std::size_t I = 0; I < Ranges.size(); ++I)
+      Least = std::min(Least,
+                       freePart(Engines[I], Ranges[I].m_End - Ranges[I].m_First));
+    return Least;
   }
-  return Found;
-}
 
-// Fills a gap with idle engines, then by widening the engines at its two ends.
-void fill(LayerRange Gap, Members &All, const EngineModel &Model,
-          std::map<EndpointId, LayerRange> &Changed) {
-  const auto Take = [&](Member &By, LayerRange Now) {
-    By.m_Held = Now;
-    Changed[By.m_Id] = Now;
-  };
-  for (Member &Each : All) {
-    if (Gap.m_First >= Gap.m_End)
+  // Fills the first gap in what the engines \p Left hold together.
+  void fillGap(const std::vector<StagePlan> &Left) {
+    Members Holders;
+    for (const StagePlan &Each : Left)
+      Holders.push_back(member(Each.m_Endpoint));
+    std::sort(Holders.begin(), Holders.end(),
+              [](const Member &A, const Member &B) { return A.m_Held < B.m_Held; });
+    // Without what others of the chain hold as well, each layer has one holder.
+    Members Chain;
+    std::uint32_t Covered = 0;
+    std::optional<LayerRange> Gap;
+    for (const Member &Each : Holders) {
+      if (Each.m_Held.m_End <= Covered)
+        continue;
+      if (Each.m_Held.m_First > Covered && !Gap)
+        Gap = LayerRange{Covered, Each.m_Held.m_First};
+      Chain.push_back(Each);
+      Covered = Each.m_Held.m_End;
+    }
+    if (!Gap && Covered < m_Model.m_Layers)
+      Gap = LayerRange{Covered, m_Model.m_Layers};
+    if (!Gap)
       return;
-    if (Each.layers() > 0)
-      continue;
-    const std::uint32_t Most =
-        mostLayers(Each, Model.m_LayerMb, LeastRequestShare);
-    const std::uint32_t End = std::min(Gap.m_End, Gap.m_First + Most);
-    if (End > Gap.m_First)
-      Take(Each, {Gap.m_First, End});
-    Gap.m_First = std::max(End, Gap.m_First);
-  }
-  while (Gap.m_First < Gap.m_End) {
-    Member *Best = nullptr;
-    double BestRoom = 0;
-    for (Member &Each : All) {
-      const bool Left = Each.layers() > 0 && Each.m_Held.m_End == Gap.m_First;
-      const bool Right = Each.layers() > 0 && Each.m_Held.m_First == Gap.m_End;
-      if (!Left && !Right)
+    const auto Right = std::find_if(
+        Chain.begin(), Chain.end(),
+        [&](const Member &Each) { return Each.m_Held.m_First >= Gap->m_End; });
+    std::size_t First = static_cast<std::size_t>(Right - Chain.begin());
+    std::size_t Last = First;
+    Members Idle;
+    for (const Member &Each : m_All)
+      if (Each.layers() == 0)
+        Idle.push_back(Each);
+    fillFromWindow(Chain, *Gap, First, Last, std::move(Idle));
+  }
+
+  // Widens the window [First, Last) of the chain around the gap until its
+  // engines, with the idle ones in the gap, have room for requests.
+  void fillFromWindow(const Members &Chain, LayerRange Gap, std::size_t First,
+                      std::size_t Last, Members Idle) {
+    double Best = -1;
+    Members BestEngines;
+    std::vector<LayerRange> BestRanges;
+    while (true) {
+      Members Engines(Chain.begin() + static_cast<std::ptrdiff_t>(First),
+                      Chain.begin() + static_cast<std::ptrdiff_t>(Last));
+      const auto Middle =
+          std::find_if(Engines.begin(), Engines.end(), [&](const Member &Each) {
+            return Each.m_Held.m_First >= Gap.m_End;
+          });
+      Engines.insert(Middle, Idle.begin(), Idle.end());
+      const LayerRange Over{
+          First == 0 ? 0 : Chain[First - 1].m_Held.m_End,
+          Last == Chain.size() ? m_Model.m_Layers : Chain[Last].m_Held.m_First};
+      const auto Ranges = split(Engines, Over);
+      if (!Ranges.empty()) {
+        const double Free = tightest(Engines, Ranges);
+        if (Free > Best + LeastGain) {
+          Best = Free;
+          BestEngines = Engines;
+          BestRanges = Ranges;
+        }
+      }
+      if (Best >= TightFree || (First == 0 && Last == Chain.size()))
+        break;
+      First -= First > 0 ? 1 : 0;
+      Last += Last < Chain.size() ? 1 : 0;
+    }
+    for (std::size_t I = 0; I < BestRanges.size(); ++I)
+      order(BestEngines[I].m_Id, BestRanges[I]);
+  }
+
+  // Two neighbours that hold the same layers: each keeps a part, by memory.
+  bool resolveOverlap(const Path &Chain) {
+    for (std::size_t I = 0; I + 1 < Chain.size(); ++I) {
+      const Member &Left = member(Chain[I].m_Endpoint);
+      const Member &Right = member(Chain[I + 1].m_Endpoint);
+      if (Right.m_Held.m_First >= Left.m_Held.m_End ||
+          Right.m_Held.m_First <= Left.m_Held.m_First ||
+          Right.m_Held.m_End <= Left.m_Held.m_End)
         continue;
-      if (Each.layers() + 1 >
-          mostLayers(Each, Model.m_LayerMb, LeastRequestShare))
+      const auto Ranges =
+          split({Left, Right}, {Left.m_Held.m_First, Right.m_Held.m_End});
+      if (Ranges.empty())
         continue;
-      const double Room = Each.m_MemoryMb / (Each.layers() + 1);
-      if (Room > BestRoom) {
-        BestRoom = Room;
-        Best = &Each;
+      const std::uint32_t Cut = std::clamp(
+          Ranges[0].m_End, Right.m_Held.m_First, Left.m_Held.m_End);
+      order(Left.m_Id, {Left.m_Held.m_First, Cut});
+      order(Right.m_Id, {Cut, Right.m_Held.m_End});
+      return true;
+    }
+    return false;
+  }
+
+  const Member *tightestOf(const std::vector<Path> &Chains) {
+    const Member *Found = nullptr;
+    for (const Path &Chain : Chains)
+      for (const StagePlan &Each : Chain) {
+        const Member &One = member(Each.m_Endpoint);
+        if (!Found ||
+            freePart(One, One.layers()) < freePart(*Found, Found->layers()))
+          Found = &One;
       }
+    return Found;
+  }
+
+  // An idle engine takes the upper part of the tightest one's layers; that one
+  // gives them up in the next plan.
+  void useIdle(const std::vector<Path> &Chains, const EndpointId &Idle) {
+    const Member &Tight = *tightestOf(Chains);
+    const Member &Taker = member(Idle);
+    // It already holds a part of the tight one's layers: that one gives it up.
+    if (Taker.layers() > 0 && Taker.m_Held.m_End == Tight.m_Held.m_End &&
+        Taker.m_Held.m_First > Tight.m_Held.m_First) {
+      order(Tight.m_Id, {Tight.m_Held.m_First, Taker.m_Held.m_First});
+      return;
     }
-    if (!Best)
+    if (freePart(Tight, Tight.layers()) > TightFree + LeastGain ||
+        Tight.layers() < 2)
       return;
-    if (Best->m_Held.m_End == Gap.m_First)
-      Take(*Best, {Best->m_Held.m_First, ++Gap.m_First});
-    else
-      Take(*Best, {--Gap.m_End, Best->m_Held.m_End});
+    const auto Ranges = split({Tight, Taker}, Tight.m_Held);
+    if (!Ranges.empty() && Ranges[1].m_First < Ranges[1].m_End)
+      order(Idle, Ranges[1]);
   }
-}
+
+  // The tightest engine's neighbour with more room takes layers from its edge;
+  // the overlap is resolved in the next plan.
+  void balance(const std::vector<Path> &Chains) {
+    const Member &Tight = *tightestOf(Chains);
+    const double Free = freePart(Tight, Tight.layers());
+    if (Free > TightFree)
+      return;
+    for (const Path &Chain : Chains)
+      for (std::size_t I = 0; I < Chain.size(); ++I) {
+        if (Chain[I].m_Endpoint != Tight.m_Id)
+          continue;
+        const Member *Best = nullptr;
+        for (const std::size_t J : {I - 1, I + 1})
+          if (J < Chain.size()) {
+            const Member &Each = member(Chain[J].m_Endpoint);
+            if (!Best ||
+                freePart(Each, Each.layers()) > freePart(*Best, Best->layers()))
+              Best = &Each;
+          }
+        if (Best)
+          widenInto(*Best, Tight);
+        return;
+      }
+  }
+
+  void widenInto(const Member &Roomy, const Member &Tight) {
+    const bool Before = Roomy.m_Held.m_First < Tight.m_Held.m_First;
+    const Member &Left = Before ? Roomy : Tight;
+    const Member &Right = Before ? Tight : Roomy;
+    const auto Ranges =
+        split({Left, Right}, {Left.m_Held.m_First, Right.m_Held.m_End});
+    if (Ranges.empty() ||
+        tightest({Left, Right}, Ranges) <
+            freePart(Tight, Tight.layers()) + LeastGain)
+      return;
+    order(Roomy.m_Id, Before ? Ranges[0] : Ranges[1]);
+  }
+
+  const EngineModel &m_Model;
+  Members m_All;
+  std::vector<PlaceOrder> m_Orders;
+};
 
 } // namespace
 
@@ -182,20 +366,9 @@
           {Id, Kind->second.m_MemoryMb, Known.m_Record.m_Layers});
   }
   std::vector<PlaceOrder> Orders;
-  for (auto &[DataCentre, All] : ByDataCentre) {
-    const bool Empty =
-        std::all_of(All.begin(), All.end(),
-                    [](const Member &Each) { return Each.layers() == 0; });
-    if (Empty) {
-      planFresh(All, Model, Orders);
-      continue;
-    }
-    std::map<EndpointId, LayerRange> Changed;
-    for (const LayerRange &Gap : gaps(All, Model.m_Layers, 1))
-      fill(Gap, All, Model, Changed);
-    for (const auto &[Id, Range] : Changed)
-      Orders.push_back({Id, Range});
-  }
+  for (auto &[DataCentre, All] : ByDataCentre)
+    for (PlaceOrder &Each : DataCentrePlan(Model, std::move(All)).orders())
+      Orders.push_back(std::move(Each));
   return Orders;
 }
 
--- a/packages/decide/layer_planner.h
+++ b/packages/decide/layer_planner.h
@@ -16,17 +16,19 @@
 };
 
 /// Layers of [0, \p Layers) for engines of these memories, in their order: the
-/// split that leaves the tightest engine the most room for requests. An empty
-/// range means that the engine is not needed. Safe from any thread.
+/// split that leaves the tightest engine the most room for requests; empty when
+/// they do not fit. Safe from any thread.
 std::vector<LayerRange> splitByMemory(const std::vector<double> &MemoryMb,
                                       std::uint32_t Layers, double LayerMb);
 
-/// Orders that bring the engines of \p Service closer to whole chains, moving
-/// as little as possible:
-/// - a data centre that holds nothing is split into chains over all its engines;
-/// - where one that serves has lost layers, an idle engine takes the gap, or
-///   else the engines beside it widen their ranges;
-/// - an engine that serves never loses layers.
+/// Orders that bring the engines of \p Service closer to whole chains with room
+/// for requests. Within a data centre:
+/// - where nothing is held, all engines are split into chains;
+/// - a gap in a chain goes to idle engines, else to the engines around it, as
+///   few of them as leave room for requests;
+/// - where two neighbours of a chain hold the same layers, one gives them up;
+/// - an idle engine takes half of the layers of the tightest one;
+/// - a tight engine hands layers to a roomier neighbour.
 /// Engines that are suspect or leaving count as lost. Safe from any thread.
 std::vector<PlaceOrder> planLayers(const Fleet &Engines,
                                    const ServiceId &Service,
