Routers count each other in a table of the store

Cause: the part of the shared retry slack was a fixed eighth; 76 routers would overdraw it. Change: each router registers once and follows the table by a feed of 20 s.

--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -97,6 +97,7 @@
     m_MetricsPage->start();
     spawn(m_Watch.followConfig());
     spawn(m_Watch.followRegistry());
+    spawn(m_Watch.followRouters());
     spawn(m_Engines.run());
     spawn(m_Layers.run());
     spawn(signalLoop());
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -21,6 +21,10 @@
 
 class ForwardCall;
 
+/// Routers that are taken to share the budgets until their table was read: the
+/// largest fleet that is planned for.
+constexpr std::size_t MostRouters = 340;
+
 /// The tables, clients and settings of one forwarding router.
 ///
 /// \par Thread safety
@@ -57,7 +61,7 @@
   const Instant m_Begun = now();
   bool m_RegistryRead = false;
   bool m_Stopping = false;
-  std::size_t m_Routers = 8; // routers that share budgets with this one
+  std::size_t m_Routers = MostRouters; // that share budgets with this one
   // Requests in progress. Their coroutines may be destroyed with the I/O
   // context, after this object, so each holds the set itself.
   std::shared_ptr<std::set<ForwardCall *>> m_Calls =
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -18,6 +18,9 @@
 // so that a connection that went silent is noticed.
 constexpr Duration FeedWait = std::chrono::seconds(4);
 
+// The same for the routers' table, which changes seldom and is not urgent.
+constexpr Duration RoutersWait = std::chrono::seconds(20);
+
 // Pauses between calls of a feed while changes come: shorter than the time in
 // which a change must be in force, long enough to take several at once.
 constexpr Duration ConfigPause = std::chrono::milliseconds(20);
@@ -26,8 +29,9 @@
 // Pause after a call that failed.
 constexpr Duration FailurePause = std::chrono::milliseconds(250);
 
-// Time after the store's return in which lapsed entries come back.
-constexpr Duration LapseGrace = std::chrono::milliseconds(2500);
+// Pause between tries to register this router, and between changes of the
+// routers' table.
+constexpr Duration RegisterPause = std::chrono::seconds(1);
 
 asio::awaitable<void> pause(asio::io_context &Io, Duration Time) {
   asio::steady_timer Timer(Io, Time);
@@ -43,18 +47,56 @@
   Apply Take = [this](const platform::Rows &Changes, bool) {
     takeConfig(Changes);
   };
-  co_await follow(platform::OperatorTable, ConfigPause, std::move(Take));
+  Feed From{platform::OperatorTable, FeedWait, ConfigPause};
+  co_await follow(std::move(From), std::move(Take));
 }
 
 asio::awaitable<void> StoreWatch::followRegistry() {
   Apply Take = [this](const platform::Rows &Changes, bool Whole) {
     takeRegistry(Changes, Whole);
   };
-  co_await follow(platform::RegistryTable, RegistryPause, std::move(Take));
+  Feed From{platform::RegistryTable, FeedWait, RegistryPause};
+  co_await follow(std::move(From), std::move(Take));
+}
+
+asio::awaitable<void> StoreWatch::followRouters() {
+  while (!co_await registerSelf())
+    co_await pause(m_Shared.m_Io, RegisterPause);
+  Apply Take = [this](const platform::Rows &Changes, bool Whole) {
+    takeRouters(Changes, Whole);
+  };
+  Feed From{platform::RoutersTable, RoutersWait, RegisterPause};
+  co_await follow(std::move(From), std::move(Take));
+}
+
+// A row that is there already, from before a restart, will do.
+asio::awaitable<bool> StoreWatch::registerSelf() {
+  const platform::WriteResult Result =
+      co_await m_Shared.m_Store.write(platform::RoutersTable,
+                                      m_Shared.m_Settings.name(),
+                                      m_Shared.m_Settings.peers(), 0);
+  co_return Result.m_Kind == platform::WriteResult::Kind::Done ||
+      Result.m_Kind == platform::WriteResult::Kind::Conflict;
+}
+
+// Routers that are gone keep their rows: the parts of those that are there only
+// get smaller by that.
+void StoreWatch::takeRouters(const platform::Rows &Changes, bool Whole) {
+  if (Whole)
+    m_RouterNames.clear();
+  for (const platform::Row &Each : Changes.m_Rows)
+    if (Each.m_Dropped)
+      m_RouterNames.erase(Each.m_Key);
+    else
+      m_RouterNames.insert(Each.m_Key);
+  m_RouterNames.insert(m_Shared.m_Settings.name());
+  m_Shared.m_Routers = m_RouterNames.size();
+  m_Shared.m_Metrics.gauge("routers",
+                           static_cast<double>(m_RouterNames.size()));
 }
 
-asio::awaitable<void> StoreWatch::follow(std::string Table, Duration Pause,
-                                         Apply Take) {
+asio::awaitable<void> StoreWatch::follow(Feed From, Apply Take) {
+  const std::string &Table = From.m_Table;
   bool Whole = true;
   std::uint64_t Version = 0;
   while (true) {
@@ -64,7 +106,7 @@
       if (Whole)
         Got = co_await m_Shared.m_Store.readTable(Table);
       else
-        Got = co_await m_Shared.m_Store.feed(Table, Version, FeedWait);
+        Got = co_await m_Shared.m_Store.feed(Table, Version, From.m_Wait);
       noteStore(Table, true, "");
       m_Shared.m_Metrics.counted("store_call");
       if (Got.m_HistoryGone) {
@@ -80,7 +122,7 @@
       noteStore(Table, false, Wrong.what());
       Failed = true;
     }
-    const Duration Next = Failed ? FailurePause : Pause;
+    const Duration Next = Failed ? FailurePause : From.m_Pause;
     co_await pause(m_Shared.m_Io, Next);
   }
 }
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -6,6 +6,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 
 namespace mimosadale::forward {
@@ -26,19 +28,31 @@
   /// Follows the registry until the router ends.
   boost::asio::awaitable<void> followRegistry();
 
+  /// Registers this router, and follows how many there are, until the router
+  /// ends: they share budgets.
+  boost::asio::awaitable<void> followRouters();
+
 private:
   using Apply = std::function<void(const platform::Rows &, bool Whole)>;
 
-  boost::asio::awaitable<void> follow(std::string Table, Duration Pause,
-                                      Apply Take);
+  struct Feed {
+    std::string m_Table;
+    Duration m_Wait{};  // of one call, for a change
+    Duration m_Pause{}; // between calls
+  };
+
+  boost::asio::awaitable<void> follow(Feed From, Apply Take);
+  boost::asio::awaitable<bool> registerSelf();
   void takeConfig(const platform::Rows &Changes);
   void takeRegistry(const platform::Rows &Changes, bool Whole);
+  void takeRouters(const platform::Rows &Changes, bool Whole);
   void noteStore(const std::string &Table, bool Reachable,
                  const std::string &Detail);
 
   ForwardState &m_Shared;
   std::function<void()> m_OnConfig;
   std::map<std::string, bool> m_Reachable; // by table
+  std::set<std::string> m_RouterNames;
 };
 
 } // namespace mimosadale::forward
