The store is asked less as the routers grow

Change: the pause between registry feeds grows with the routers; routers try for the lease one after the other, by rendezvous rank.

--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -62,6 +62,13 @@
   bool m_RegistryRead = false;
   bool m_Stopping = false;
   std::size_t m_Routers = MostRouters; // that share budgets with this one
+  bool m_RoutersRead = false;
+
+  /// Routers that come first for the lease, one after the other; the rest come
+  /// last. `m_OrderRank` is this router's place, `OrderRanks` for the rest.
+  static constexpr std::size_t OrderRanks = 3;
+  std::size_t m_OrderRank = OrderRanks;
+
   // Requests in progress. Their coroutines may be destroyed with the I/O
   // context, after this object, so each holds the set itself.
   std::shared_ptr<std::set<ForwardCall *>> m_Calls =
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -24,6 +24,11 @@
 // other routers' orders show.
 constexpr Duration FirstPlan = std::chrono::milliseconds(1500);
 
+// Time that orders must have been due for each place that this router has in the
+// order of those that take the lease, and the spread of the last ones.
+constexpr Duration RankPause = std::chrono::milliseconds(700);
+constexpr Duration LastSpread = std::chrono::milliseconds(2000);
+
 constexpr Duration OrderTimeout = std::chrono::seconds(1);
 
 } // namespace
@@ -60,10 +65,16 @@
   const Instant Now = ForwardState::now();
   const std::vector<decide::PlaceOrder> Due =
       m_Orders.due(m_Shared.m_Fleet, Service->m_Name, *Service->m_Engine, Now);
-  if (Due.empty() && !m_Orders.pending())
+  if (Due.empty() && !m_Orders.pending()) {
+    m_DueSince.reset();
     co_return;
+  }
+  if (!m_DueSince) {
+    m_DueSince = Now;
+    m_LeasePause = leasePause();
+  }
   const unsigned AtOnce = Service->m_Engine->m_LoadsAtOnce;
-  if (m_Lease.wantsRow(Now))
+  if (m_Lease.wantsRow(Now) && Now - *m_DueSince >= m_LeasePause)
     co_await takeLease();
   for (const decide::PlaceOrder &Each : Due) {
     const auto Fence = m_Lease.fence(ForwardState::now());
@@ -74,6 +85,16 @@
   }
 }
 
+// Routers try one after the other, so that the store is not asked by all at
+// once.
+Duration LayerControl::leasePause() {
+  Duration Pause = RankPause * static_cast<int>(m_Shared.m_OrderRank);
+  if (m_Shared.m_OrderRank == ForwardState::OrderRanks)
+    Pause += Duration(std::uniform_int_distribution<Duration::rep>(
+        0, LastSpread.count())(m_Shared.m_Random));
+  return Pause;
+}
+
 asio::awaitable<void> LayerControl::takeLease() {
   const Instant Asked = ForwardState::now();
   try {
--- a/packages/forward/layer_control.h
+++ b/packages/forward/layer_control.h
@@ -27,12 +27,15 @@
   boost::asio::awaitable<void> order(decide::PlaceOrder Order,
                                      std::uint64_t Fence);
   const decide::ServiceInfo *engineService() const;
+  Duration leasePause();
 
   ForwardState &m_Shared;
   decide::LayerOrders m_Orders;
   decide::OrderLease m_Lease;
   const Instant m_Begun;
   unsigned m_InProgress = 0;
+  std::optional<Instant> m_DueSince; // orders have been due since
+  Duration m_LeasePause{};
 };
 
 } // namespace mimosadale::forward
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -1,10 +1,12 @@
 #include "forward/store_watch.h"
 
+#include "decide/rendezvous.h"
 #include "platform/config_codec.h"
 #include "platform/endpoint_codec.h"
 #include "platform/names.h"
 #include "router/log.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -26,6 +28,11 @@
 constexpr Duration ConfigPause = std::chrono::milliseconds(20);
 constexpr Duration RegistryPause = std::chrono::milliseconds(200);
 
+// The registry's pause grows with the routers that all read it, up to half of
+// the shortest time in which a leaving endpoint must get nothing more.
+constexpr Duration RegistryPausePerRouter = std::chrono::milliseconds(15);
+constexpr Duration LongestRegistryPause = std::chrono::milliseconds(1000);
+
 // Pause after a call that failed.
 constexpr Duration FailurePause = std::chrono::milliseconds(250);
 
@@ -38,6 +45,16 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
+// The place of \p Self in the order in which routers take the lease for orders.
+std::size_t rankOf(const std::set<std::string> &Names,
+                   const std::string &Self) {
+  const auto First = decide::chooseMembers(
+      std::vector<std::string>(Names.begin(), Names.end()), "orders",
+      ForwardState::OrderRanks);
+  return static_cast<std::size_t>(
+      std::find(First.begin(), First.end(), Self) - First.begin());
+}
+
 } // namespace
 
 StoreWatch::StoreWatch(ForwardState &Shared, std::function<void()> OnConfig)
@@ -47,7 +64,7 @@
   Apply Take = [this](const platform::Rows &Changes, bool) {
     takeConfig(Changes);
   };
-  Feed From{platform::OperatorTable, FeedWait, ConfigPause};
+  Feed From{platform::OperatorTable, FeedWait, [] { return ConfigPause; }};
   co_await follow(std::move(From), std::move(Take));
 }
 
@@ -55,7 +72,14 @@
   Apply Take = [this](const platform::Rows &Changes, bool Whole) {
     takeRegistry(Changes, Whole);
   };
-  Feed From{platform::RegistryTable, FeedWait, RegistryPause};
+  Feed From{platform::RegistryTable, FeedWait, [this] {
+              const Duration Grown = RegistryPausePerRouter *
+                                     static_cast<int>(m_Shared.m_Routers);
+              return m_Shared.m_RoutersRead
+                         ? std::clamp(Grown, RegistryPause,
+                                      LongestRegistryPause)
+                         : RegistryPause;
+            }};
   co_await follow(std::move(From), std::move(Take));
 }
 
@@ -65,7 +89,8 @@
   Apply Take = [this](const platform::Rows &Changes, bool Whole) {
     takeRouters(Changes, Whole);
   };
-  Feed From{platform::RoutersTable, RoutersWait, RegisterPause};
+  Feed From{platform::RoutersTable, RoutersWait,
+            [] { return RegisterPause; }};
   co_await follow(std::move(From), std::move(Take));
 }
 
@@ -91,6 +116,8 @@
       m_RouterNames.insert(Each.m_Key);
   m_RouterNames.insert(m_Shared.m_Settings.name());
   m_Shared.m_Routers = m_RouterNames.size();
+  m_Shared.m_RoutersRead = true;
+  m_Shared.m_OrderRank = rankOf(m_RouterNames, m_Shared.m_Settings.name());
   m_Shared.m_Metrics.gauge("routers",
                            static_cast<double>(m_RouterNames.size()));
 }
@@ -122,7 +149,7 @@
       noteStore(Table, false, Wrong.what());
       Failed = true;
     }
-    const Duration Next = Failed ? FailurePause : From.m_Pause;
+    const Duration Next = Failed ? FailurePause : From.m_Pause();
     co_await pause(m_Shared.m_Io, Next);
   }
 }
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -37,8 +37,8 @@
 
   struct Feed {
     std::string m_Table;
-    Duration m_Wait{};  // of one call, for a change
-    Duration m_Pause{}; // between calls
+    Duration m_Wait{}; // of one call, for a change
+    std::function<Duration()> m_Pause; // between calls
   };
 
   boost::asio::awaitable<void> follow(Feed From, Apply Take);
