--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -4,8 +4,8 @@
 #include "ctl/difference.h"
 #include "ctl/inventory.h"
 #include "ctl/session.h"
-#include "store/digest.h"
 #include "rpc/operator_caller.h"
+#include "store/digest.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -314,8 +314,7 @@
   const std::string Salt = randomText(8);
   std::cout << "token = \"" << Token << "\"\n"
             << "token_salt = \"" << Salt << "\"\n"
-            << "token_sha256 = \"" << store::sha256Hex(Salt + Token)
-            << "\"\n";
+            << "token_sha256 = \"" << store::sha256Hex(Salt + Token) << "\"\n";
   return ExitFine;
 }
 
--- a/packages/ctl/session.cpp
+++ b/packages/ctl/session.cpp
@@ -30,8 +30,8 @@
   const net::Address Where = net::parseAddress(m_Line.m_Platform);
   m_Table =
       std::make_unique<store::TableClient>(m_Client, Where, PlatformTimeout);
-  m_Objects = std::make_unique<store::ObjectClient>(m_Client, Where,
-                                                       PlatformTimeout);
+  m_Objects =
+      std::make_unique<store::ObjectClient>(m_Client, Where, PlatformTimeout);
   m_Config = std::make_unique<store::ConfigStore>(*m_Table, *m_Objects);
 }
 
--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -78,22 +78,22 @@
   const FleetEndpoint *First = Engines.find(Of.m_Stages.front().m_Endpoint);
   if (!First || Now < First->m_FullUntil)
     return 1;
-  const unsigned Running =
-      First->m_Load ? First->m_Load->m_Running + First->m_Load->m_Queued +
-                          First->m_SentSinceReport
-                    : 0;
-  double Most = m_Model.m_FirstStageSlots > 0
-                    ? static_cast<double>(
-                          std::max(Running, First->m_InFlight)) /
-                          m_Model.m_FirstStageSlots
-                    : 0;
+  const unsigned Running = First->m_Load ? First->m_Load->m_Running +
+                                               First->m_Load->m_Queued +
+                                               First->m_SentSinceReport
+                                         : 0;
+  double Most =
+      m_Model.m_FirstStageSlots > 0
+          ? static_cast<double>(std::max(Running, First->m_InFlight)) /
+                m_Model.m_FirstStageSlots
+          : 0;
   for (const StagePlan &Each : Of.m_Stages) {
     const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
     if (!Known)
       return 1;
     const LayerRange Held = Known->m_Record.m_Layers;
-    const double Room =
-        kvRoom(m_Model, Known->m_Record.m_Accelerator, Held.m_End - Held.m_First);
+    const double Room = kvRoom(m_Model, Known->m_Record.m_Accelerator,
+                               Held.m_End - Held.m_First);
     const double Reported =
         Known->m_Load ? Known->m_Load->m_KvUsed + Known->m_KvSinceReport : 0;
     const double Used = std::max(Reported, Known->m_KvInFlight);
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -21,8 +21,8 @@
   DataCentreId m_DataCentre;
   bool m_Leaving = false;
   unsigned m_Slots = 0;
-  std::string m_Accelerator; // kind; empty for plain services
-  LayerRange m_Layers;       // held now; empty for plain services
+  std::string m_Accelerator;     // kind; empty for plain services
+  LayerRange m_Layers;           // held now; empty for plain services
   std::uint64_t m_StartedMs = 0; // Unix time of its start; 0 when not told
 };
 
@@ -42,12 +42,12 @@
   bool m_Suspect = false;
   Instant m_SuspectSince{};
   std::string m_SuspectReason;
-  unsigned m_Faults = 0;      // in a row
-  unsigned m_InFlight = 0;    // requests of this router, as first stage
+  unsigned m_Faults = 0;          // in a row
+  unsigned m_InFlight = 0;        // requests of this router, as first stage
   unsigned m_SentSinceReport = 0; // as first stage, by this router
   Instant m_FullUntil{};          // it refused a request for want of a place
-  double m_KvInFlight = 0;    // tokens times layers, of this router
-  double m_KvSinceReport = 0; // sent by this router since the last report
+  double m_KvInFlight = 0;        // tokens times layers, of this router
+  double m_KvSinceReport = 0;     // sent by this router since the last report
   std::optional<EngineLoadReport> m_Load;
   Instant m_LoadAt{};
 
--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -55,8 +55,8 @@
   const bool May = (repeatable() || m_Run.proof()) &&
                    (How != SendFault::Failed || !m_HeadDelivered);
   const bool InTime = Now + LeastTimeLeft < end();
-  const bool Left = m_Tried.size() < m_Start.m_MaxEndpoints &&
-                    m_Sends < MostSends;
+  const bool Left =
+      m_Tried.size() < m_Start.m_MaxEndpoints && m_Sends < MostSends;
   // A send that never left is no second arrival at the service.
   if (May && InTime && Left && (How == SendFault::NotSent || Budget()))
     return SendAgain{retryReason(How)};
--- a/packages/decide/forward_run.h
+++ b/packages/decide/forward_run.h
@@ -22,11 +22,11 @@
 
 /// How one send ended without a whole answer.
 enum class SendFault {
-  NotSent,   // no connection: no byte left
+  NotSent,    // no connection: no byte left
   SaidNotRun, // the endpoint said that it has not run it
-  Failed,    // the endpoint's own failure answer, which counts as run
-  Broken,    // the connection broke
-  Stalled    // given up here, because the endpoint or its path is lost
+  Failed,     // the endpoint's own failure answer, which counts as run
+  Broken,     // the connection broke
+  Stalled     // given up here, because the endpoint or its path is lost
 };
 
 /// Send it once more, to an endpoint outside `avoided`.
@@ -87,7 +87,9 @@
   const EndpointSet &avoided() const { return m_Avoided; }
 
   /// The time after which nothing helps the caller any more.
-  Instant end() const { return std::min(m_Start.m_Deadline, m_Start.m_Timeout); }
+  Instant end() const {
+    return std::min(m_Start.m_Deadline, m_Start.m_Timeout);
+  }
 
   bool headDelivered() const { return m_HeadDelivered; }
   unsigned sends() const { return m_Sends; }
--- a/packages/decide/layer_orders.cpp
+++ b/packages/decide/layer_orders.cpp
@@ -85,8 +85,9 @@
   const double Share =
       static_cast<double>(Order.m_Layers.m_End - Order.m_Layers.m_First) /
       Model.m_Layers;
-  m_Pending[Order.m_Engine] = {
-      Order.m_Layers, Now + OrderSlack + fromSeconds(Model.m_LoadSeconds * Share)};
+  m_Pending[Order.m_Engine] = {Order.m_Layers,
+                               Now + OrderSlack +
+                                   fromSeconds(Model.m_LoadSeconds * Share)};
 }
 
 void LayerOrders::onUnanswered(const EndpointId &Engine, Instant Now) {
--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -139,8 +139,8 @@
     std::vector<double> Memory;
     for (const Member &Each : Engines)
       Memory.push_back(Each.m_MemoryMb * (1 - LeastFree));
-    std::vector<LayerRange> Ranges = splitByMemory(
-        Memory, Over.m_End - Over.m_First, m_Model.m_LayerMb);
+    std::vector<LayerRange> Ranges =
+        splitByMemory(Memory, Over.m_End - Over.m_First, m_Model.m_LayerMb);
     for (LayerRange &Each : Ranges) {
       Each.m_First += Over.m_First;
       Each.m_End += Over.m_First;
@@ -152,8 +152,8 @@
                   const std::vector<LayerRange> &Ranges) const {
     double Least = 1;
     for (std::size_t I = 0; I < Ranges.size(); ++I)
-      Least = std::min(Least,
-                       freePart(Engines[I], Ranges[I].m_End - Ranges[I].m_First));
+      Least = std::min(
+          Least, freePart(Engines[I], Ranges[I].m_End - Ranges[I].m_First));
     return Least;
   }
 
@@ -162,8 +162,9 @@
     Members Holders;
     for (const StagePlan &Each : Left)
       Holders.push_back(member(Each.m_Endpoint));
-    std::sort(Holders.begin(), Holders.end(),
-              [](const Member &A, const Member &B) { return A.m_Held < B.m_Held; });
+    std::sort(
+        Holders.begin(), Holders.end(),
+        [](const Member &A, const Member &B) { return A.m_Held < B.m_Held; });
     // Without what others of the chain hold as well, each layer has one holder.
     Members Chain;
     std::uint32_t Covered = 0;
@@ -180,9 +181,10 @@
       Gap = LayerRange{Covered, m_Model.m_Layers};
     if (!Gap)
       return;
-    const auto Right = std::find_if(
-        Chain.begin(), Chain.end(),
-        [&](const Member &Each) { return Each.m_Held.m_First >= Gap->m_End; });
+    const auto Right =
+        std::find_if(Chain.begin(), Chain.end(), [&](const Member &Each) {
+          return Each.m_Held.m_First >= Gap->m_End;
+        });
     std::size_t First = static_cast<std::size_t>(Right - Chain.begin());
     std::size_t Last = First;
     Members Idle;
@@ -207,9 +209,9 @@
             return Each.m_Held.m_First >= Gap.m_End;
           });
       Engines.insert(Middle, Idle.begin(), Idle.end());
-      const LayerRange Over{
-          First == 0 ? 0 : Chain[First - 1].m_Held.m_End,
-          Last == Chain.size() ? m_Model.m_Layers : Chain[Last].m_Held.m_First};
+      const LayerRange Over{First == 0 ? 0 : Chain[First - 1].m_Held.m_End,
+                            Last == Chain.size() ? m_Model.m_Layers
+                                                 : Chain[Last].m_Held.m_First};
       const auto Ranges = split(Engines, Over);
       if (!Ranges.empty()) {
         const double Free = tightest(Engines, Ranges);
@@ -241,8 +243,8 @@
           split({Left, Right}, {Left.m_Held.m_First, Right.m_Held.m_End});
       if (Ranges.empty())
         continue;
-      const std::uint32_t Cut = std::clamp(
-          Ranges[0].m_End, Right.m_Held.m_First, Left.m_Held.m_End);
+      const std::uint32_t Cut =
+          std::clamp(Ranges[0].m_End, Right.m_Held.m_First, Left.m_Held.m_End);
       order(Left.m_Id, {Left.m_Held.m_First, Cut});
       order(Right.m_Id, {Cut, Right.m_Held.m_End});
       return true;
@@ -312,9 +314,8 @@
     const Member &Right = Before ? Tight : Roomy;
     const auto Ranges =
         split({Left, Right}, {Left.m_Held.m_First, Right.m_Held.m_End});
-    if (Ranges.empty() ||
-        tightest({Left, Right}, Ranges) <
-            freePart(Tight, Tight.layers()) + LeastGain)
+    if (Ranges.empty() || tightest({Left, Right}, Ranges) <
+                              freePart(Tight, Tight.layers()) + LeastGain)
       return;
     order(Roomy.m_Id, Before ? Ranges[0] : Ranges[1]);
   }
--- a/packages/decide/order_lease.cpp
+++ b/packages/decide/order_lease.cpp
@@ -30,8 +30,7 @@
 std::optional<LeaseWrite> OrderLease::onRow(const LeaseRow &Row,
                                             std::uint64_t StoreMs,
                                             Instant Asked, Instant Now) {
-  if (Row.m_Version != 0 && Row.m_Holder != m_Self &&
-      Row.m_UntilMs > StoreMs) {
+  if (Row.m_Version != 0 && Row.m_Holder != m_Self && Row.m_UntilMs > StoreMs) {
     m_Fence = 0;
     m_NotBefore = Now + std::chrono::milliseconds(Row.m_UntilMs - StoreMs);
     return std::nullopt;
--- a/packages/decide/tiling.h
+++ b/packages/decide/tiling.h
@@ -8,8 +8,8 @@
 
 namespace mimosadale::decide {
 
-/// The tiling of [0, \p Layers) by parts of what \p Held says engines hold, with
-/// the fewest stages; empty when there is none. Safe from any thread.
+/// The tiling of [0, \p Layers) by parts of what \p Held says engines hold,
+/// with the fewest stages; empty when there is none. Safe from any thread.
 Path fewestStages(const std::vector<StagePlan> &Held, std::uint32_t Layers);
 
 /// As many tilings as can be found one after the other without using an engine
--- a/packages/forward/engine_client.h
+++ b/packages/forward/engine_client.h
@@ -13,9 +13,10 @@
 /// \p Timeout. Another engine at that address does not answer for it.
 /// \throws net::NetError; phase Connect proves that nothing was sent.
 /// \pre Called in the router's thread.
-boost::asio::awaitable<net::HttpResponse>
-callEngine(ForwardState &Shared, EndpointId To, net::HttpRequest Request,
-           Duration Timeout);
+boost::asio::awaitable<net::HttpResponse> callEngine(ForwardState &Shared,
+                                                     EndpointId To,
+                                                     net::HttpRequest Request,
+                                                     Duration Timeout);
 
 } // namespace mimosadale::forward
 
--- a/packages/forward/event_splitter.cpp
+++ b/packages/forward/event_splitter.cpp
@@ -13,8 +13,7 @@
 std::string EventSplitter::takeWhole() {
   std::size_t End = m_Bytes.rfind(EventEnd);
   End = End == std::string::npos ? 0 : End + EventEnd.size();
-  if (const std::size_t Cr = m_Bytes.rfind(EventEndCr);
-      Cr != std::string::npos)
+  if (const std::size_t Cr = m_Bytes.rfind(EventEndCr); Cr != std::string::npos)
     End = std::max(End, Cr + EventEndCr.size());
   if (End == 0)
     return "";
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -55,7 +55,8 @@
 } // namespace
 
 ForwardCall::ForwardCall(ForwardState &Shared, net::HttpExchange &Exchange)
-    : m_Shared(Shared), m_Calls(Shared.m_Calls), m_Exchange(Exchange), m_Arrived(ForwardState::now()),
+    : m_Shared(Shared), m_Calls(Shared.m_Calls), m_Exchange(Exchange),
+      m_Arrived(ForwardState::now()),
       m_Facts(platform::decodeRequest(Exchange.request())) {
   m_Calls->insert(this);
 }
@@ -316,9 +317,8 @@
 }
 
 asio::awaitable<std::optional<ForwardStep>> ForwardCall::exchange(Target To) {
-  const Duration Idle = m_Route->m_Kind == decide::CallKind::AtMostOnce
-                            ? MostIdleOnce
-                            : MostIdle;
+  const Duration Idle =
+      m_Route->m_Kind == decide::CallKind::AtMostOnce ? MostIdleOnce : MostIdle;
   m_Connecting = true;
   std::function<void(std::function<void()>)> Begun =
       [this](std::function<void()> Cancel) { m_Cancel = std::move(Cancel); };
@@ -471,8 +471,7 @@
   if (m_Route) {
     Fields.push_back({"route", m_Route->m_Name});
     Fields.push_back({"service", m_Service.str()});
-    Fields.push_back({"version",
-                      std::to_string(m_Routes->config().m_Version)});
+    Fields.push_back({"version", std::to_string(m_Routes->config().m_Version)});
   }
   if (m_Run) {
     Fields.push_back({"sends", std::to_string(m_Run->sends())});
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -53,8 +53,7 @@
   std::optional<Target> chooseTarget();
   std::optional<Target> chooseChain();
   std::optional<Target> choosePlain();
-  boost::asio::awaitable<std::optional<decide::ForwardStep>>
-  sendTo(Target To);
+  boost::asio::awaitable<std::optional<decide::ForwardStep>> sendTo(Target To);
   boost::asio::awaitable<std::optional<decide::ForwardStep>>
   exchange(Target To);
   boost::asio::awaitable<std::optional<decide::ForwardStep>>
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -138,9 +138,9 @@
       co_await Call.serve();
     } catch (const std::exception &Wrong) {
       // The caller left, or its connection broke, while it was answered.
-      router::logEvent(schema::INFO, "caller_lost",
-                       {{"request", Call.request().str()},
-                        {"detail", Wrong.what()}});
+      router::logEvent(
+          schema::INFO, "caller_lost",
+          {{"request", Call.request().str()}, {"detail", Wrong.what()}});
       Exchange.abort();
     }
   }
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -24,8 +24,8 @@
 // other routers' orders show.
 constexpr Duration FirstPlan = std::chrono::milliseconds(1500);
 
-// Time that orders must have been due for each place that this router has in the
-// order of those that take the lease, and the spread of the last ones.
+// Time that orders must have been due for each place that this router has in
+// the order of those that take the lease, and the spread of the last ones.
 constexpr Duration RankPause = std::chrono::milliseconds(700);
 constexpr Duration LastSpread = std::chrono::milliseconds(2000);
 
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -51,8 +51,8 @@
   const auto First = decide::chooseMembers(
       std::vector<std::string>(Names.begin(), Names.end()), "orders",
       ForwardState::OrderRanks);
-  return static_cast<std::size_t>(
-      std::find(First.begin(), First.end(), Self) - First.begin());
+  return static_cast<std::size_t>(std::find(First.begin(), First.end(), Self) -
+                                  First.begin());
 }
 
 } // namespace
@@ -73,12 +73,11 @@
     takeRegistry(Changes, Whole);
   };
   Feed From{platform::RegistryTable, FeedWait, [this] {
-              const Duration Grown = RegistryPausePerRouter *
-                                     static_cast<int>(m_Shared.m_Routers);
-              return m_Shared.m_RoutersRead
-                         ? std::clamp(Grown, RegistryPause,
-                                      LongestRegistryPause)
-                         : RegistryPause;
+              const Duration Grown =
+                  RegistryPausePerRouter * static_cast<int>(m_Shared.m_Routers);
+              return m_Shared.m_RoutersRead ? std::clamp(Grown, RegistryPause,
+                                                         LongestRegistryPause)
+                                            : RegistryPause;
             }};
   co_await follow(std::move(From), std::move(Take));
 }
@@ -89,17 +88,15 @@
   Apply Take = [this](const platform::Rows &Changes, bool Whole) {
     takeRouters(Changes, Whole);
   };
-  Feed From{platform::RoutersTable, RoutersWait,
-            [] { return RegisterPause; }};
+  Feed From{platform::RoutersTable, RoutersWait, [] { return RegisterPause; }};
   co_await follow(std::move(From), std::move(Take));
 }
 
 // A row that is there already, from before a restart, will do.
 asio::awaitable<bool> StoreWatch::registerSelf() {
-  const platform::WriteResult Result =
-      co_await m_Shared.m_Store.write(platform::RoutersTable,
-                                      m_Shared.m_Settings.name(),
-                                      m_Shared.m_Settings.peers(), 0);
+  const platform::WriteResult Result = co_await m_Shared.m_Store.write(
+      platform::RoutersTable, m_Shared.m_Settings.name(),
+      m_Shared.m_Settings.peers(), 0);
   co_return Result.m_Kind == platform::WriteResult::Kind::Done ||
       Result.m_Kind == platform::WriteResult::Kind::Conflict;
 }
@@ -137,8 +134,9 @@
       noteStore(Table, true, "");
       m_Shared.m_Metrics.counted("store_call");
       if (Got.m_HistoryGone) {
-        router::logEvent(schema::WARN, "store_history_gone",
-                         {{"table", Table}, {"after", std::to_string(Version)}});
+        router::logEvent(
+            schema::WARN, "store_history_gone",
+            {{"table", Table}, {"after", std::to_string(Version)}});
         Whole = true;
         continue;
       }
@@ -182,9 +180,9 @@
       m_OnConfig();
     } catch (const Error &Wrong) {
       m_Shared.m_Metrics.counted("config_unreadable");
-      router::logEvent(schema::ERROR, "config_unreadable",
-                       {{"row", std::to_string(Each.m_Version)},
-                        {"detail", Wrong.what()}});
+      router::logEvent(
+          schema::ERROR, "config_unreadable",
+          {{"row", std::to_string(Each.m_Version)}, {"detail", Wrong.what()}});
     }
   }
 }
@@ -193,9 +191,9 @@
   std::vector<decide::EndpointRecord> Records;
   for (const platform::Row &Each : Changes.m_Rows) {
     if (Each.m_Dropped) {
-      router::logEvent(schema::INFO, "endpoint_gone",
-                       {{"endpoint", Each.m_Key},
-                        {"row", std::to_string(Each.m_Version)}});
+      router::logEvent(
+          schema::INFO, "endpoint_gone",
+          {{"endpoint", Each.m_Key}, {"row", std::to_string(Each.m_Version)}});
       m_Shared.m_Fleet.remove(EndpointId(Each.m_Key));
       continue;
     }
@@ -214,13 +212,12 @@
     const auto *Known = m_Shared.m_Fleet.find(Each.m_Id);
     if (!Known || Known->m_Record.m_Leaving != Each.m_Leaving ||
         Known->m_Record.m_Layers != Each.m_Layers)
-      router::logEvent(
-          schema::INFO, "endpoint_seen",
-          {{"endpoint", Each.m_Id.str()},
-           {"address", Each.m_Address},
-           {"leaving", Each.m_Leaving ? "yes" : "no"},
-           {"layers", std::to_string(Each.m_Layers.m_First) + "-" +
-                          std::to_string(Each.m_Layers.m_End)}});
+      router::logEvent(schema::INFO, "endpoint_seen",
+                       {{"endpoint", Each.m_Id.str()},
+                        {"address", Each.m_Address},
+                        {"leaving", Each.m_Leaving ? "yes" : "no"},
+                        {"layers", std::to_string(Each.m_Layers.m_First) + "-" +
+                                       std::to_string(Each.m_Layers.m_End)}});
   }
   if (Whole)
     m_Shared.m_Fleet.replaceAll(Records, ForwardState::now());
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -37,7 +37,7 @@
 
   struct Feed {
     std::string m_Table;
-    Duration m_Wait{}; // of one call, for a change
+    Duration m_Wait{};                 // of one call, for a change
     std::function<Duration()> m_Pause; // between calls
   };
 
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -75,17 +75,16 @@
     m_Watch = std::make_shared<CallerWatch>();
     m_Watch->m_OnGone = std::move(OnGone);
     auto &Socket = beast::get_lowest_layer(m_Out).socket();
-    Socket.async_wait(tcp::socket::wait_read,
-                      [Watch = m_Watch, &Socket](beast::error_code Code) {
-                        if (Code || Watch->m_Done)
-                          return;
-                        char Byte = 0;
-                        Socket.non_blocking(true, Code);
-                        Socket.receive(asio::buffer(&Byte, 1),
-                                       tcp::socket::message_peek, Code);
-                        if (Code && Code != asio::error::would_block)
-                          Watch->m_OnGone();
-                      });
+    Socket.async_wait(tcp::socket::wait_read, [Watch = m_Watch, &Socket](
+                                                  beast::error_code Code) {
+      if (Code || Watch->m_Done)
+        return;
+      char Byte = 0;
+      Socket.non_blocking(true, Code);
+      Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Code);
+      if (Code && Code != asio::error::would_block)
+        Watch->m_OnGone();
+    });
   }
 
   asio::awaitable<void> respond(HttpResponse Response) override {
@@ -483,9 +482,7 @@
 
 void HttpServer::start() { m_State->start(); }
 void HttpServer::stop() { m_State->stop(); }
-void HttpServer::setLimits(ServerLimits Limits) {
-  m_State->setLimits(Limits);
-}
+void HttpServer::setLimits(ServerLimits Limits) { m_State->setLimits(Limits); }
 void HttpServer::closeIdle() { m_State->closeIdle(); }
 void HttpServer::closeAfterAnswers() { m_State->closeAfterAnswers(); }
 void HttpServer::reloadTls() { m_State->reloadTls(); }
--- a/packages/net/upstream.cpp
+++ b/packages/net/upstream.cpp
@@ -131,8 +131,8 @@
   }
 }
 
-asio::awaitable<HttpResponse> UpstreamExchange::readHead(
-    std::function<bool(const HttpResponse &)> IsOurs) {
+asio::awaitable<HttpResponse>
+UpstreamExchange::readHead(std::function<bool(const HttpResponse &)> IsOurs) {
   for (unsigned Foreign = 0; Foreign <= MostForeignAnswers; ++Foreign) {
     m_Open->m_Whole = false;
     m_Open->m_Parser.emplace();
--- a/packages/router/claim_store.cpp
+++ b/packages/router/claim_store.cpp
@@ -1,8 +1,8 @@
 #include "router/claim_store.h"
 
+#include "router/context.h"
 #include "store/digest.h"
 #include "store/store_error.h"
-#include "router/context.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/router/completion_call.cpp
+++ b/packages/router/completion_call.cpp
@@ -1,11 +1,11 @@
 #include "router/completion_call.h"
 
 #include "decide/trace.h"
-#include "store/digest.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "router/replies.h"
 #include "router/trace_file.h"
+#include "store/digest.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/packages/router/config_watch.cpp
+++ b/packages/router/config_watch.cpp
@@ -1,10 +1,10 @@
 #include "router/config_watch.h"
 
-#include "store/digest.h"
-#include "store/store_error.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "router/peer_link.h"
+#include "store/digest.h"
+#include "store/store_error.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/router/context.h
+++ b/packages/router/context.h
@@ -5,14 +5,14 @@
 #include "base/id.h"
 #include "base/units.h"
 #include "net/client.h"
-#include "store/config_store.h"
-#include "store/objects.h"
-#include "store/table.h"
 #include "router/config_table.h"
 #include "router/endpoint_table.h"
 #include "router/metrics.h"
 #include "router/request_table.h"
 #include "schema/generated/settings.pb.h"
+#include "store/config_store.h"
+#include "store/objects.h"
+#include "store/table.h"
 
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
--- a/packages/router/gateway.cpp
+++ b/packages/router/gateway.cpp
@@ -1,11 +1,11 @@
 #include "router/gateway.h"
 
-#include "store/digest.h"
 #include "router/claim_store.h"
 #include "router/completion_call.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "router/replies.h"
+#include "store/digest.h"
 
 #include <boost/json.hpp>
 
@@ -97,15 +97,14 @@
       Config->workspace(Token.substr(0, Token.find('.')));
   const std::string Salt = Workspace ? Workspace->token_salt() : "none";
   const std::string Given = store::sha256Hex(Salt + Token);
-  if (!Workspace ||
-      !store::equalConstantTime(Given, Workspace->token_sha256()))
+  if (!Workspace || !store::equalConstantTime(Given, Workspace->token_sha256()))
     return std::nullopt;
   return Caller{*Workspace, Config};
 }
 
 bool Gateway::operatorAllowed(const net::HttpRequest &Request) const {
   if (store::equalConstantTime(store::sha256Hex(bearerOf(Request)),
-                                  store::sha256Hex(m_OperatorToken)))
+                               store::sha256Hex(m_OperatorToken)))
     return true;
   return m_Sealed(Request.m_Body,
                   net::findHeader(Request.m_Headers, "Mimosadale-Key"),
--- a/packages/router/operator_rpc.cpp
+++ b/packages/router/operator_rpc.cpp
@@ -1,8 +1,8 @@
 #include "router/operator_rpc.h"
 
-#include "store/digest.h"
 #include "router/context.h"
 #include "schema/generated/operator_server.h"
+#include "store/digest.h"
 
 #include <jsoncpp/json/reader.h>
 #include <mutex>
@@ -111,8 +111,7 @@
 
   std::string generation() override {
     const auto Config = m_Shared.m_Config.get();
-    return Config ? store::encodeBase64(Config->m_Row.SerializeAsString())
-                  : "";
+    return Config ? store::encodeBase64(Config->m_Row.SerializeAsString()) : "";
   }
 
 private:
--- a/packages/router/peer_link.cpp
+++ b/packages/router/peer_link.cpp
@@ -1,9 +1,9 @@
 #include "router/peer_link.h"
 
-#include "store/digest.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "rpc/operator_caller.h"
+#include "store/digest.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -120,8 +120,7 @@
   const schema::PeerKey *Key = key(Id);
   return Key &&
          store::equalConstantTime(
-             store::encodeBase64(store::hmacSha256(Key->secret(), Body)),
-             Mac);
+             store::encodeBase64(store::hmacSha256(Key->secret(), Body)), Mac);
 }
 
 void PeerLink::send(decide::OutgoingMessages Messages) {
@@ -166,8 +165,8 @@
   const bool Whole = Sealed.ParseFromString(Bytes);
   const schema::PeerKey *Key = Whole ? key(Sealed.key()) : nullptr;
   if (!Key ||
-      !store::equalConstantTime(
-          store::hmacSha256(Key->secret(), Sealed.body()), Sealed.mac()) ||
+      !store::equalConstantTime(store::hmacSha256(Key->secret(), Sealed.body()),
+                                Sealed.mac()) ||
       !Message.ParseFromString(Sealed.body())) {
     m_Shared.m_Metrics.counted("peer_seal_wrong");
     return;
@@ -212,11 +211,10 @@
   net::HttpRequest Request;
   Request.m_Method = "POST";
   Request.m_Target = "/rpc";
-  Request.m_Headers = {
-      {"Content-Type", "application/json"},
-      {"Mimosadale-Key", std::to_string(Key.id())},
-      {"Mimosadale-Mac",
-       store::encodeBase64(store::hmacSha256(Key.secret(), Body))}};
+  Request.m_Headers = {{"Content-Type", "application/json"},
+                       {"Mimosadale-Key", std::to_string(Key.id())},
+                       {"Mimosadale-Mac", store::encodeBase64(store::hmacSha256(
+                                              Key.secret(), Body))}};
   Request.m_Body = Body;
   net::ExchangeOptions Options;
   Options.m_Timeout = AskTimeout;
--- a/packages/router/service_call.cpp
+++ b/packages/router/service_call.cpp
@@ -1,13 +1,13 @@
 #include "router/service_call.h"
 
-#include "store/digest.h"
-#include "store/store_error.h"
 #include "router/claim_run.h"
 #include "router/claim_store.h"
 #include "router/context.h"
 #include "router/log.h"
 #include "router/replies.h"
 #include "router/service_client.h"
+#include "store/digest.h"
+#include "store/store_error.h"
 
 #include <algorithm>
 
@@ -158,7 +158,7 @@
   Start.m_Key = std::move(Key);
   Start.m_BodyHash =
       store::sha256Hex(m_Forwarded.m_Method + "\n" + m_Forwarded.m_Target +
-                          "\n" + m_Forwarded.m_Body);
+                       "\n" + m_Forwarded.m_Body);
   Start.m_Attempt = AttemptId(m_Request.str());
   Start.m_Holder = PeerId(m_Shared.m_Settings.name());
   Start.m_HolderIncarnation = m_Shared.m_Incarnation;
--- a/packages/store/config_store.cpp
+++ b/packages/store/config_store.cpp
@@ -99,7 +99,7 @@
     break;
   }
   throw StoreError("the table did not take the declaration; nothing was "
-                      "changed");
+                   "changed");
 }
 
 // Reads the row until it shows a generation as new as ours. While it shows an
@@ -120,7 +120,7 @@
     co_await Pause.async_wait(asio::use_awaitable);
   }
   throw StoreError("the answer of the table was lost, and the row does not "
-                      "show the change: run status before you apply again");
+                   "show the change: run status before you apply again");
 }
 
 } // namespace mimosadale::store
--- a/packages/store/config_store.h
+++ b/packages/store/config_store.h
@@ -3,10 +3,10 @@
 #ifndef MIMOSADALE_STORE_CONFIG_STORE_H
 #define MIMOSADALE_STORE_CONFIG_STORE_H
 
-#include "store/objects.h"
-#include "store/table.h"
 #include "schema/generated/declaration.pb.h"
 #include "schema/generated/rows.pb.h"
+#include "store/objects.h"
+#include "store/table.h"
 
 #include <functional>
 #include <optional>
--- a/packages/store/objects.cpp
+++ b/packages/store/objects.cpp
@@ -23,7 +23,7 @@
         co_await m_Client.exchange(m_Platform, std::move(Request), Options);
     if (Response.m_Status != 200)
       throw StoreError(Target + ": status " +
-                          std::to_string(Response.m_Status));
+                       std::to_string(Response.m_Status));
     co_return Response;
   } catch (const net::NetError &Wrong) {
     m_Client.forget(m_Platform);
--- a/packages/store/table.cpp
+++ b/packages/store/table.cpp
@@ -103,7 +103,7 @@
         co_await m_Client.exchange(m_Platform, Request, Options);
     if (Response.m_Status != 200)
       throw StoreError("the table answered with status " +
-                          std::to_string(Response.m_Status));
+                       std::to_string(Response.m_Status));
     co_return parseRows(Response.m_Body, "rows");
   } catch (const net::NetError &Wrong) {
     m_Client.forget(m_Platform);
--- /dev/null
+++ b/tests/unit/forward_run_test.cpp
@@ -0,0 +1,214 @@
+// The life cycle of forwarded requests, over all orders of faults, and the
+// budgets and look-ups that it uses.
+#include "decide/forward_run.h"
+#include "decide/retry_budget.h"
+#include "decide/route_table.h"
+#include "forward/event_splitter.h"
+
+#include <doctest/doctest.h>
+#include <iostream>
+
+using namespace mimosadale;
+using namespace mimosadale::decide;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant T0{std::chrono::seconds(1000)};
+
+constexpr SendFault Faults[] = {SendFault::NotSent, SendFault::SaidNotRun,
+                                SendFault::Failed, SendFault::Broken,
+                                SendFault::Stalled};
+
+// What really happened to one request, beside what the machine believes.
+struct Truth {
+  unsigned m_MayHaveRun = 0; // sends that may have run
+  unsigned m_States = 0;
+};
+
+struct Kind {
+  CallKind m_Kind;
+  bool m_Resumable;
+  bool mayRepeat() const {
+    return m_Kind == CallKind::Idempotent ||
+           (m_Kind == CallKind::Stream && m_Resumable);
+  }
+};
+
+void checkEnd(const ForwardStep &Step, const Truth &Known) {
+  if (const auto *Refused = std::get_if<RefuseForward>(&Step)) {
+    const bool SaysNotRun = Refused->m_Refusal.runState() == schema::NOT_RUN;
+    CHECK(SaysNotRun == (Known.m_MayHaveRun == 0));
+  }
+  if (std::holds_alternative<PassOnFailure>(Step))
+    CHECK(Known.m_MayHaveRun > 0);
+}
+
+// Plays every order of faults after `Run`; the head of a stream may go out
+// before each fault but those that come before an answer.
+void explore(ForwardRun Run, Truth Known, Kind Of, bool Budget,
+             unsigned &States) {
+  ++States;
+  const auto Took = [Budget] { return Budget; };
+  for (const SendFault Fault : Faults)
+    for (const bool Head : {false, true}) {
+      const bool BeforeAnswer = Fault == SendFault::NotSent ||
+                                Fault == SendFault::SaidNotRun ||
+                                Fault == SendFault::Failed;
+      if (Head && (Of.m_Kind != CallKind::Stream || BeforeAnswer))
+        continue;
+      ForwardRun Next = Run;
+      Truth After = Known;
+      Next.beforeSend(EndpointId("e" + std::to_string(Next.sends())));
+      if (Fault != SendFault::NotSent && Fault != SendFault::SaidNotRun)
+        ++After.m_MayHaveRun;
+      if (!Of.mayRepeat())
+        REQUIRE(After.m_MayHaveRun <= 1);
+      if (Head)
+        Next.onHeadDelivered();
+      const ForwardStep Step = Next.onFault(
+          Fault, {EndpointId("e" + std::to_string(Next.sends() - 1))}, T0,
+          Took);
+      if (std::holds_alternative<SendAgain>(Step)) {
+        if (!Of.mayRepeat())
+          REQUIRE(After.m_MayHaveRun == 0);
+        REQUIRE(Next.sends() < 5);
+        explore(Next, After, Of, Budget, States);
+      } else {
+        if (Next.headDelivered())
+          CHECK(std::holds_alternative<CutOff>(Step));
+        checkEnd(Step, After);
+      }
+      ForwardRun None = Next;
+      checkEnd(None.onNoEndpoint(schema::NO_ENDPOINT, 1s), After);
+      checkEnd(Next.onTimeout(), After);
+    }
+}
+
+Route route(const std::string &Host, const std::string &Prefix) {
+  Route Made;
+  Made.m_Name = Host + Prefix;
+  Made.m_Host = Host;
+  Made.m_Prefix = Prefix;
+  Made.m_Services = {{ServiceId("s"), 1}};
+  return Made;
+}
+
+RoutingConfig config(std::uint64_t Version) {
+  RoutingConfig Made;
+  Made.m_Version = Version;
+  Made.m_Routes = {route("one.example", "/a/"), route("one.example", "/a/b/"),
+                   route("two.example", "/")};
+  Made.m_Workspaces = {{WorkspaceId("w"), std::nullopt, {"key1", "key2"}}};
+  return Made;
+}
+
+} // namespace
+
+TEST_CASE("forwarded requests run at most once and refusals are true, over all "
+          "orders of faults") {
+  unsigned States = 0;
+  for (const Kind Of :
+       {Kind{CallKind::Idempotent, false}, Kind{CallKind::AtMostOnce, false},
+        Kind{CallKind::Stream, false}, Kind{CallKind::Stream, true}})
+    for (const bool Budget : {true, false})
+      for (unsigned Most = 1; Most <= 4; ++Most) {
+        ForwardStart Start;
+        Start.m_Kind = Of.m_Kind;
+        Start.m_Resumable = Of.m_Resumable;
+        Start.m_MaxEndpoints = Most;
+        Start.m_Deadline = T0 + 10s;
+        Start.m_Timeout = T0 + 20s;
+        explore(ForwardRun(Start), {}, Of, Budget, States);
+      }
+  std::cout << "forwarded requests: " << States << " states explored\n";
+  CHECK(States > 500);
+}
+
+TEST_CASE("nothing is sent again when the time is over") {
+  ForwardStart Start;
+  Start.m_Kind = CallKind::Idempotent;
+  Start.m_MaxEndpoints = 3;
+  Start.m_Deadline = T0 + 10s;
+  Start.m_Timeout = T0 + 1s;
+  ForwardRun Run(Start);
+  Run.beforeSend(EndpointId("a"));
+  CHECK(std::holds_alternative<RefuseForward>(
+      Run.onFault(SendFault::Broken, {}, T0 + 1s, [] { return true; })));
+}
+
+TEST_CASE("retries: every window keeps the bound, over all routers") {
+  constexpr std::size_t Routers = 6;
+  const WindowedRetryBudget::Bounds Bounds{0.2, 196, 10s};
+  std::vector<WindowedRetryBudget> Budgets(Routers,
+                                           WindowedRetryBudget(Bounds, T0));
+  // All routers retry all that they may, with a load that stops and returns.
+  std::vector<std::pair<Instant, bool>> Taken; // time, whether a retry
+  for (int Ms = 0; Ms < 60000; Ms += 20) {
+    const Instant Now = T0 + std::chrono::milliseconds(Ms);
+    const bool Busy = Ms / 7000 % 2 == 0;
+    for (WindowedRetryBudget &Each : Budgets) {
+      if (Busy) {
+        Each.onFirstTry(Now);
+        Taken.push_back({Now, false});
+      }
+      for (int I = 0; I < 3; ++I)
+        if (Each.take(Now, Routers))
+          Taken.push_back({Now, true});
+    }
+  }
+  for (int Begin = 0; Begin < 50000; Begin += 250) {
+    const Instant From = T0 + std::chrono::milliseconds(Begin);
+    double First = 0;
+    double Again = 0;
+    for (const auto &[At, Retry] : Taken) {
+      // First tries count in this window or in the one before.
+      if (!Retry && At >= From - 10s && At < From + 10s)
+        ++First;
+      if (Retry && At >= From && At < From + 10s)
+        ++Again;
+    }
+    CHECK(Again <= Bounds.m_Fraction * First + Bounds.m_Slack);
+  }
+}
+
+TEST_CASE("retries: a restarted router does not have its slack twice") {
+  WindowedRetryBudget Fresh({0.2, 196, 10s}, T0);
+  CHECK_FALSE(Fresh.take(T0, 6));
+  int Taken = 0;
+  while (Fresh.take(T0 + 5s, 6))
+    ++Taken;
+  CHECK(Taken <= 196 / 6 / 2);
+}
+
+TEST_CASE("routes: the longest prefix of the host, and versions only rise") {
+  RouteTableHolder Holder;
+  CHECK(Holder.adopt(config(5)));
+  CHECK_FALSE(Holder.adopt(config(4)));
+  CHECK_FALSE(Holder.adopt(config(5)));
+  const auto &Table = *Holder.current();
+  CHECK(Table.config().m_Version == 5);
+  CHECK(Table.find("one.example", "/a/b/c")->m_Prefix == "/a/b/");
+  CHECK(Table.find("ONE.example:8080", "/a/bc?x=/a/b/")->m_Prefix == "/a/");
+  CHECK(Table.find("one.example", "/a") == nullptr);
+  CHECK(Table.find("two.example", "/any/thing")->m_Prefix == "/");
+  CHECK(Table.find("three.example", "/a/") == nullptr);
+  CHECK(Table.workspaceOf("key2")->m_Name.str() == "w");
+  CHECK(Table.workspaceOf("key3") == nullptr);
+  const auto Kept = Holder.current();
+  CHECK(Holder.adopt(config(9)));
+  CHECK(Kept->find("one.example", "/a/") != nullptr);
+}
+
+TEST_CASE("events are passed on whole, and a cut one is dropped") {
+  forward::EventSplitter Events;
+  Events.buffer() += "id: 1\ndata: x\n\nid: 2\nda";
+  CHECK(Events.takeWhole() == "id: 1\ndata: x\n\n");
+  CHECK(Events.lastId() == "1");
+  CHECK(Events.takeWhole().empty());
+  Events.dropPartial();
+  Events.buffer() += "id: 2\ndata: id: 9\n\nid: 3\n\n";
+  CHECK(Events.takeWhole() == "id: 2\ndata: id: 9\n\nid: 3\n\n");
+  CHECK(Events.lastId() == "3");
+  CHECK(Events.takeRest().empty());
+}
--- /dev/null
+++ b/tests/unit/layer_plan_test.cpp
@@ -0,0 +1,306 @@
+// Placement of layers and choice of chains under the losses that made them
+// fail.
+#include "decide/chain_router.h"
+#include "decide/layer_orders.h"
+#include "decide/layer_planner.h"
+#include "decide/order_lease.h"
+#include "decide/tiling.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace mimosadale;
+using namespace mimosadale::decide;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant T0{std::chrono::seconds(1000)};
+const ServiceId Llm("llm");
+
+EngineModel model() {
+  EngineModel Of;
+  Of.m_Layers = 80;
+  Of.m_LayerMb = 1750;
+  Of.m_KvBytesPerToken = 590000;
+  Of.m_FirstStageSlots = 192;
+  Of.m_LoadSeconds = 14;
+  Of.m_LoadsAtOnce = 6;
+  Of.m_Kinds = {{"a100s", {36000, 3.1, 3.2}},
+                {"l4", {21600, 16, 8.2}},
+                {"t4", {14400, 15, 15}}};
+  return Of;
+}
+
+EndpointRecord engine(const std::string &Name, const std::string &Kind,
+                      LayerRange Held = {}, const std::string &Centre = "dc") {
+  EndpointRecord Of;
+  Of.m_Id = EndpointId(Name);
+  Of.m_Service = Llm;
+  Of.m_Address = "192.0.2.1:" +
+                 std::to_string(1000 + std::hash<std::string>()(Name) % 50000);
+  Of.m_DataCentre = DataCentreId(Centre);
+  Of.m_Accelerator = Kind;
+  Of.m_Layers = Held;
+  return Of;
+}
+
+// 2 a100s, 4 l4 and 7 t4: the engines of one data centre.
+Fleet dataCentre() {
+  Fleet Made;
+  const auto Add = [&](const std::string &Kind, int Count) {
+    for (int I = 0; I < Count; ++I)
+      Made.put(engine(Kind + "-" + std::to_string(I), Kind), T0);
+  };
+  Add("a100s", 2);
+  Add("l4", 4);
+  Add("t4", 7);
+  return Made;
+}
+
+void carryOut(Fleet &On, const std::vector<PlaceOrder> &Orders) {
+  for (const PlaceOrder &Each : Orders)
+    On.onLayersHeld(Each.m_Engine, Each.m_Layers);
+}
+
+// Carries out plans until none is left. \returns the number of rounds.
+int settle(Fleet &On) {
+  for (int Round = 0; Round < 50; ++Round) {
+    const auto Orders = planLayers(On, Llm, model());
+    if (Orders.empty())
+      return Round;
+    carryOut(On, Orders);
+  }
+  return -1;
+}
+
+double memoryOf(const FleetEndpoint &Of) {
+  return model().m_Kinds.at(Of.m_Record.m_Accelerator).m_MemoryMb;
+}
+
+// Least free part of the memory of an engine that is in a chain.
+double leastFree(const Fleet &Of) {
+  double Least = 1;
+  for (const auto &[Id, Known] : Of.all())
+    if (Known.usable())
+      Least = std::min(Least, 1 - (Known.m_Record.m_Layers.m_End -
+                                   Known.m_Record.m_Layers.m_First) *
+                                      model().m_LayerMb / memoryOf(Known));
+  return Least;
+}
+
+std::size_t chains(const Fleet &Of) {
+  ChainRouter Router;
+  Router.rebuild(Of, Llm, model());
+  return Router.chains().size();
+}
+
+} // namespace
+
+TEST_CASE("layers are split so that the tightest engine has the most room") {
+  const auto Ranges = splitByMemory({36000, 21600, 14400}, 20, 1750);
+  REQUIRE(Ranges.size() == 3);
+  CHECK(Ranges[0] == LayerRange{0, 10});
+  CHECK(Ranges[1] == LayerRange{10, 16});
+  CHECK(Ranges[2] == LayerRange{16, 20});
+  CHECK(splitByMemory({14400}, 9, 1750).empty());
+}
+
+TEST_CASE("an empty data centre becomes one chain over all its engines") {
+  Fleet Made = dataCentre();
+  CHECK(settle(Made) == 1);
+  CHECK(chains(Made) == 1);
+  CHECK(leastFree(Made) > 0.38);
+}
+
+TEST_CASE("engines that cannot hold the model together get no orders") {
+  Fleet Made;
+  Made.put(engine("only", "t4"), T0);
+  CHECK(planLayers(Made, Llm, model()).empty());
+}
+
+TEST_CASE("lost engines: the chain is whole again with room for requests") {
+  // Each pair of losses; the two neighbours alone would be left with a
+  // twentieth of their memory.
+  std::vector<EndpointId> Names;
+  const Fleet Whole = dataCentre();
+  for (const auto &[Id, Known] : Whole.all())
+    Names.push_back(Id);
+  for (const EndpointId &First : Names)
+    for (const EndpointId &Second : Names) {
+      Fleet Made = dataCentre();
+      settle(Made);
+      Made.suspect(First, "test", T0);
+      Made.suspect(Second, "test", T0);
+      CAPTURE(First.str());
+      CAPTURE(Second.str());
+      CHECK(settle(Made) >= 0);
+      CHECK(chains(Made) == 1);
+      CHECK(leastFree(Made) > 0.15);
+    }
+}
+
+TEST_CASE("an engine that returns empty relieves the tightest one") {
+  Fleet Made = dataCentre();
+  settle(Made);
+  Made.suspect(EndpointId("l4-0"), "test", T0);
+  Made.suspect(EndpointId("l4-1"), "test", T0);
+  settle(Made);
+  const double Before = leastFree(Made);
+  Made.put(engine("fresh", "l4"), T0);
+  CHECK(settle(Made) >= 0);
+  CHECK(chains(Made) == 1);
+  CHECK(leastFree(Made) >= Before);
+}
+
+TEST_CASE("while an order is under way nothing is given up for it") {
+  Fleet Made;
+  Made.put(engine("a", "a100s", {0, 20}), T0);
+  Made.put(engine("b", "a100s", {20, 40}), T0);
+  Made.put(engine("c", "a100s", {40, 60}), T0);
+  Made.put(engine("d", "a100s", {60, 80}), T0);
+  Made.put(engine("e", "a100s"), T0);
+  Made.put(engine("f", "a100s"), T0);
+  LayerOrders Orders;
+  const auto First = Orders.due(Made, Llm, model(), T0);
+  REQUIRE(First.size() == 1);
+  Orders.onSent(First[0], model(), T0);
+  for (const PlaceOrder &Each : Orders.due(Made, Llm, model(), T0 + 200ms)) {
+    const LayerRange Held = Made.find(Each.m_Engine)->m_Record.m_Layers;
+    const bool Keeps =
+        Held.m_First >= Held.m_End || (Each.m_Layers.m_First <= Held.m_First &&
+                                       Each.m_Layers.m_End >= Held.m_End);
+    CHECK(Keeps);
+  }
+}
+
+TEST_CASE("an order without an answer is planned again soon") {
+  Fleet Made;
+  for (int I = 0; I < 4; ++I)
+    Made.put(engine(std::string(1, static_cast<char>('a' + I)), "a100s",
+                    {static_cast<std::uint32_t>(20 * I),
+                     static_cast<std::uint32_t>(20 * I + (I == 3 ? 15 : 20))}),
+             T0);
+  Made.put(engine("idle", "a100s"), T0);
+  LayerOrders Orders;
+  const auto First = Orders.due(Made, Llm, model(), T0);
+  REQUIRE(!First.empty());
+  for (const PlaceOrder &Each : First) {
+    Orders.onSent(Each, model(), T0);
+    Orders.onUnanswered(Each.m_Engine, T0);
+  }
+  CHECK(Orders.due(Made, Llm, model(), T0 + 1s).empty());
+  CHECK_FALSE(Orders.due(Made, Llm, model(), T0 + 2s).empty());
+}
+
+TEST_CASE("first layers wait until no new engine appears") {
+  Fleet Made = dataCentre();
+  LayerOrders Orders;
+  CHECK(Orders.due(Made, Llm, model(), T0).empty());
+  Made.put(engine("late", "l4"), T0 + 1s);
+  CHECK(Orders.due(Made, Llm, model(), T0 + 1s).empty());
+  CHECK(Orders.due(Made, Llm, model(), T0 + 2s).empty());
+  CHECK(Orders.due(Made, Llm, model(), T0 + 2600ms).size() == 14);
+}
+
+TEST_CASE("a report that lags does not take back what the registry says") {
+  Fleet Made;
+  Made.put(engine("a", "a100s", {0, 20}), T0);
+  Made.onReport(EndpointId("a"), EngineLoadReport{}, T0);
+  CHECK(Made.find(EndpointId("a"))->m_Record.m_Layers == LayerRange{0, 20});
+}
+
+TEST_CASE("a restart under the same id forgets trust and layers") {
+  Fleet Made;
+  EndpointRecord Record = engine("a", "a100s", {0, 20});
+  Record.m_StartedMs = 1;
+  Made.put(Record, T0);
+  Made.suspect(Record.m_Id, "test", T0);
+  Record.m_StartedMs = 2;
+  Record.m_Layers = {};
+  Made.put(Record, T0);
+  CHECK(Made.find(Record.m_Id)->usable());
+  CHECK(Made.find(Record.m_Id)->m_Record.m_Layers == LayerRange{});
+}
+
+TEST_CASE(
+    "a chain whose first engine is full gets nothing, the other one all") {
+  Fleet Made;
+  for (const std::string Centre : {"x", "y"})
+    for (std::uint32_t I = 0; I < 4; ++I)
+      Made.put(engine(Centre + std::to_string(I), "a100s",
+                      {20 * I, 20 * I + 20}, Centre),
+               T0);
+  ChainRouter Router;
+  Router.rebuild(Made, Llm, model());
+  REQUIRE(Router.chains().size() == 2);
+  Made.onFull(EndpointId("x0"), T0 + 1s);
+  Random Rng(7);
+  for (int I = 0; I < 100; ++I) {
+    const Chain *Chosen =
+        Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng);
+    REQUIRE(Chosen);
+    CHECK(Chosen->m_DataCentre.str() == "y");
+  }
+  EngineLoadReport Full;
+  Full.m_Running = 192;
+  Made.onReport(EndpointId("y0"), Full, T0);
+  CHECK(Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng) ==
+        nullptr);
+}
+
+TEST_CASE("requests spread over chains by the room that they have") {
+  Fleet Made;
+  for (const std::string Centre : {"x", "y"})
+    for (std::uint32_t I = 0; I < 4; ++I)
+      Made.put(engine(Centre + std::to_string(I), "a100s",
+                      {20 * I, 20 * I + 20}, Centre),
+               T0);
+  ChainRouter Router;
+  Router.rebuild(Made, Llm, model());
+  Random Rng(7);
+  int Here = 0;
+  constexpr int Requests = 120;
+  for (int I = 0; I < Requests; ++I) {
+    const Chain *Chosen =
+        Router.choose(Made, {40, 20, 10}, DataCentreId("x"), {}, T0, Rng);
+    REQUIRE(Chosen);
+    Here += Chosen->m_DataCentre.str() == "x";
+    Made.countFirstStage(Chosen->m_Stages.front().m_Endpoint, 1);
+  }
+  CHECK(Here > Requests / 3);
+  CHECK(Here < Requests * 3 / 4);
+}
+
+TEST_CASE("a path uses each layer once and in order") {
+  std::vector<StagePlan> Held{{EndpointId("a"), {0, 30}},
+                              {EndpointId("b"), {20, 50}},
+                              {EndpointId("c"), {45, 80}},
+                              {EndpointId("d"), {50, 80}}};
+  const Path Found = fewestStages(Held, 80);
+  CHECK(tilesExactly(Found, 80));
+  CHECK(fewestStages({{EndpointId("a"), {0, 30}}}, 80).empty());
+}
+
+TEST_CASE("the lease: one holder, a fence that rises, and time from before") {
+  OrderLease First(PeerId("first"));
+  OrderLease Second(PeerId("second"));
+  const auto Write = First.onRow({}, 10000, T0, T0 + 10ms);
+  REQUIRE(Write);
+  CHECK(Write->m_Expect == 0);
+  CHECK_FALSE(First.fence(T0 + 20ms));
+  First.onWritten(7);
+  CHECK(First.fence(T0 + 20ms) == 7);
+  const LeaseRow Row{7, PeerId("first"), Write->m_UntilMs};
+  CHECK_FALSE(Second.onRow(Row, 10500, T0 + 500ms, T0 + 500ms));
+  CHECK_FALSE(Second.wantsRow(T0 + 600ms));
+  // A holder that slept past its lease orders nothing.
+  CHECK_FALSE(First.fence(T0 + 2500ms));
+  const auto Taken = Second.onRow(Row, Write->m_UntilMs, T0 + 3s, T0 + 3s);
+  REQUIRE(Taken);
+  CHECK(Taken->m_Expect == 7);
+  Second.onWritten(9);
+  CHECK(Second.fence(T0 + 3100ms) == 9);
+  Second.onFenced(T0 + 3200ms);
+  CHECK_FALSE(Second.fence(T0 + 3200ms));
+}
--- /dev/null
+++ b/tests/unit/platform_codec_test.cpp
@@ -0,0 +1,162 @@
+// Decoding of the platform's formats, good and bad.
+#include "platform/config_codec.h"
+#include "platform/endpoint_codec.h"
+#include "platform/json.h"
+#include "platform/lease_codec.h"
+#include "platform/names.h"
+#include "platform/request_headers.h"
+
+#include <doctest/doctest.h>
+
+using namespace mimosadale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Config = R"({"Version":7,
+ "Routes":[{"Name":"r1","Host":"a.example","Prefix":"/p/","RouteType":"streaming",
+   "TimeoutMs":20000,"TargetLatencyMs":500,"Priority":1,"MaxAttempts":2,
+   "WeightedServices":[{"Service":"llm","Weight":90},{"Service":"app","Weight":10}],
+   "Public":false,"StreamResume":true,"GapTargetMs":200},
+  {"Name":"r2","Host":"a.example","Prefix":"/q/","RouteType":"non_idempotent",
+   "TimeoutMs":1200,"Service":"app","MaxAttempts":1}],
+ "Services":[{"Name":"llm","HealthCheckPath":"/health","MaxConnections":968,
+   "Engine":{"Slots":192,"KvTokenBytes":590000,"Layers":80,"LayerMb":1750.0,
+    "step_ms":0.85,"read_per_s":196000.0,"loads_at_once":6,"report_lag_ms":200.0,
+    "Models":[{"Name":"m","LoadS":14.0}],"usual":{"prompt":772,"answer":172},
+    "Kinds":[{"Name":"t4","SizeMb":14400.0,"pace":15.0,"ReadX":15.0}]}},
+  {"Name":"app","HealthCheckPath":"/health","MaxConnections":96}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
+   "IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"w","ApiKeys":["k1","k2"],"Priority":1}]})";
+
+std::string replaced(std::string Text, const std::string &What,
+                     const std::string &By) {
+  const std::size_t At = Text.find(What);
+  REQUIRE(At != std::string::npos);
+  return Text.replace(At, What.size(), By);
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into fields that say what they hold") {
+  const decide::RoutingConfig To = platform::decodeConfig(Config);
+  CHECK(To.m_Version == 7);
+  REQUIRE(To.m_Routes.size() == 2);
+  CHECK(To.m_Routes[0].m_Kind == decide::CallKind::Stream);
+  CHECK(To.m_Routes[0].m_Resumable);
+  CHECK(To.m_Routes[0].m_Timeout == 20s);
+  CHECK(To.m_Routes[0].m_TargetGap == 200ms);
+  CHECK(To.m_Routes[0].m_Services.size() == 2);
+  CHECK(To.m_Routes[1].m_Kind == decide::CallKind::AtMostOnce);
+  CHECK(To.m_Routes[1].m_Services[0].m_Service.str() == "app");
+  REQUIRE(To.m_Services[0].m_Engine);
+  CHECK(To.m_Services[0].m_Engine->m_LoadSeconds == 14.0);
+  CHECK(To.m_Services[0].m_Engine->m_Kinds.at("t4").m_MemoryMb == 14400.0);
+  CHECK_FALSE(To.m_Services[1].m_Engine);
+  CHECK(To.m_Limits.m_IdleTimeout == 15s);
+  CHECK(To.m_KeysRequired);
+  CHECK(To.m_Workspaces[0].m_Keys.size() == 2);
+}
+
+TEST_CASE("a bad configuration is refused with the field and what is allowed") {
+  const auto Fault = [](const std::string &Text) -> std::string {
+    try {
+      platform::decodeConfig(Text);
+    } catch (const platform::DecodeError &Wrong) {
+      return Wrong.what();
+    }
+    return "";
+  };
+  CHECK(Fault(replaced(Config, "streaming", "sometimes")) ==
+        "RouteType: \"sometimes\": allowed: idempotent, non_idempotent, "
+        "streaming");
+  CHECK(Fault(replaced(Config, "\"Version\":7", "\"Version\":\"7\"")) ==
+        "Version: allowed: a number");
+  CHECK(Fault("[]") == "body: allowed: a JSON object");
+  CHECK(Fault("") == "body: allowed: a JSON object");
+}
+
+TEST_CASE("an entry of the registry that cannot be used is refused") {
+  const std::string Entry =
+      R"({"Service":"llm","Address":"192.0.2.9:8080","Zone":"z","Version":"v1",
+          "Slots":192,"State":"ready","RouteType":"t4","Sequence":4,
+          "Layers":{"From":20,"Target":31,"Version":1},"born":17})";
+  const auto To = platform::decodeEntry("i-1", Entry);
+  CHECK(To.m_Layers == decide::LayerRange{20, 31});
+  CHECK(To.m_Accelerator == "t4");
+  CHECK(To.m_StartedMs == 17);
+  CHECK_FALSE(To.m_Leaving);
+  for (const auto &[What, By] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"dancing\""},
+           {"\"ready\"", "5"},
+           {"\"192.0.2.9:8080\"", "\"nowhere\""},
+           {"\"Service\":\"llm\"", "\"Service\":[]"},
+           {"\"From\":20", "\"From\":\"x\""},
+           {"{\"Service\"", "\xff{\"Service\""}})
+    CHECK_THROWS_AS(platform::decodeEntry("i-1", replaced(Entry, What, By)),
+                    platform::DecodeError);
+}
+
+TEST_CASE("a report names the engines that requests wait for") {
+  const auto To = platform::decodeReport(
+      R"({"Busy":true,"Sequence":2,"Queued":1,"Running":12,"KvUsed":41000,
+          "KvTotal":90000,"pace":2.5,
+          "Stalled":[{"Id":"abc","Address":"192.0.2.9:8080"}]})");
+  CHECK(To.m_Load.m_Running == 12);
+  CHECK(To.m_Load.m_Slowdown == 2.5);
+  CHECK(To.m_OrderInProgress);
+  REQUIRE(To.m_Stalled.size() == 1);
+  CHECK(To.m_Stalled[0].m_Address == "192.0.2.9:8080");
+}
+
+TEST_CASE("a request is passed on without its key, with the router's headers") {
+  net::HttpRequest From;
+  From.m_Method = "POST";
+  From.m_Target = "/p/x?y=1";
+  From.m_Body = "body";
+  From.m_Headers = {{"Host", "a.example"},
+                    {"x-mimosadale-request-id", "abc"},
+                    {"X-Mimosadale-Deadline-Ms", "2500"},
+                    {"X-Mimosadale-Token-Count", "1460,80"},
+                    {"X-Mimosadale-Length-Hint", "50"},
+                    {"X-Mimosadale-Tenant", "forged"},
+                    {"Last-Event-Id", "3"},
+                    {"Connection", "keep-alive"},
+                    {"Authorization", "Bearer secret"}};
+  const platform::RequestFacts Facts = platform::decodeRequest(From);
+  CHECK(Facts.m_Id.str() == "abc");
+  CHECK(Facts.m_Key == "secret");
+  CHECK(Facts.m_Deadline == Duration(2500ms));
+  REQUIRE(Facts.m_Size);
+  CHECK(Facts.m_Size->m_Prompt == 1460);
+  CHECK(Facts.m_Size->m_LikelyAnswer == 50);
+  platform::ForwardHeaders Added;
+  Added.m_Left = 1900ms;
+  Added.m_Endpoint = EndpointId("i-1");
+  Added.m_Workspace = "w";
+  Added.m_LastEvent = "12";
+  const net::HttpRequest To = platform::encodeForward(From, Added);
+  const auto Value = [&](const char *Name) {
+    return net::findHeader(To.m_Headers, Name);
+  };
+  CHECK(To.m_Target == From.m_Target);
+  CHECK(To.m_Body == "body");
+  CHECK(Value("Host") == "a.example");
+  CHECK(Value(platform::DeadlineHeader) == "1900");
+  CHECK(Value(platform::WorkspaceHeader) == "w");
+  CHECK(Value(platform::ExpectInstanceHeader) == "i-1");
+  CHECK(Value("Last-Event-Id") == "12");
+  CHECK(Value("Authorization").empty());
+  CHECK(Value("Connection").empty());
+  CHECK(Value(platform::PathHeader).empty());
+}
+
+TEST_CASE("the lease's row keeps its holder and its end") {
+  const auto Row = platform::decodeLease(platform::encodeLease("r1", 512), 9);
+  CHECK(Row.m_Holder.str() == "r1");
+  CHECK(Row.m_UntilMs == 512);
+  CHECK(Row.m_Version == 9);
+  CHECK_THROWS_AS(platform::decodeLease("{}", 1), platform::DecodeError);
+}
