--- /dev/null
+++ b/tests/platform/estate.h
@@ -0,0 +1,138 @@
+// A stand-in for the platform: store, registry, chained engines, services.
+#ifndef MIMOSADALE_TESTS_ESTATE_H
+#define MIMOSADALE_TESTS_ESTATE_H
+
+#include "decide/path.h"
+#include "net/server.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mimosadale::tests {
+
+/// How the store treats calls.
+enum class StoreMode { Serves, Refuses, Silent };
+
+/// Serves the published calls of the platform on loopback addresses, in one
+/// thread of the test, and checks what must always hold of the requests that it
+/// gets.
+///
+/// \par Thread safety
+/// Public members may be called from the test's thread.
+class Estate {
+public:
+  Estate();
+  ~Estate();
+  Estate(const Estate &) = delete;
+  Estate &operator=(const Estate &) = delete;
+
+  std::string store() const;
+
+  /// Adds an engine that holds no layers, and its entry.
+  void addEngine(const std::string &Id, const std::string &Centre,
+                 const std::string &Kind = "big");
+  /// Adds a plain service's endpoint and its entry.
+  void addService(const std::string &Id, const std::string &Service);
+
+  /// Writes the operator's configuration with this version.
+  void configure(std::uint64_t Version);
+  void addRoute(const boost::json::object &Route);
+  void setKeys(const std::vector<std::string> &Keys);
+
+  /// Writes any row of any table.
+  void put(const std::string &Table, const std::string &Key,
+           const std::string &Value);
+
+  /// The engine answers nothing any more, and what runs through it stands
+  /// still.
+  void silence(const std::string &Id);
+  /// The endpoint says that it leaves; it goes on serving.
+  void drain(const std::string &Id);
+  /// The next \p Count answers of the endpoint are lost after it ran.
+  void loseAnswers(const std::string &Id, int Count);
+  void setStore(StoreMode Mode) { m_Mode = Mode; }
+  void setEventPause(std::chrono::milliseconds Pause) { m_Pause = Pause; }
+
+  /// Runs of a request, by its id, over all endpoints.
+  int runs(const std::string &Request);
+  /// Requests that broke what must hold.
+  std::vector<std::string> violations();
+  /// Layers that the engine holds.
+  decide::LayerRange layers(const std::string &Id);
+  /// The engines through which \p Request went last.
+  std::vector<std::string> pathOf(const std::string &Request);
+
+private:
+  struct Row {
+    std::string m_Value;
+    std::uint64_t m_Version = 0;
+    bool m_Dropped = false;
+  };
+  struct Endpoint {
+    std::string m_Id;
+    std::string m_Service;
+    std::string m_Centre;
+    std::string m_Kind; // empty for plain services
+    std::unique_ptr<net::HttpServer> m_Server;
+    decide::LayerRange m_Layers;
+    bool m_Leaving = false;
+    bool m_Silent = false;
+    int m_LostAnswers = 0;
+    std::uint64_t m_Fence = 0;
+    std::uint64_t m_Orders = 0;
+
+    std::string address() const {
+      return "127.0.0.1:" + std::to_string(m_Server->port());
+    }
+  };
+  using Task = boost::asio::awaitable<void>;
+
+  std::unique_ptr<net::HttpServer>
+  serve(std::function<Task(net::HttpExchange &)> Handle);
+  Endpoint &add(const std::string &Id, const std::string &Service);
+  void publish(const Endpoint &Of);
+  Task handleStore(net::HttpExchange &Exchange);
+  Task feed(net::HttpExchange &Exchange);
+  net::HttpResponse read(const std::string &Target);
+  net::HttpResponse transact(const std::string &Body);
+  boost::json::object rowJson(const std::string &Table, const std::string &Key,
+                              const Row &Of) const;
+  Task handleEndpoint(Endpoint &At, net::HttpExchange &Exchange);
+  Task stream(Endpoint &At, net::HttpExchange &Exchange);
+  net::HttpResponse order(Endpoint &At, const std::string &Body);
+  net::HttpResponse report(const Endpoint &At);
+  std::optional<net::HttpResponse> refusal(const Endpoint &At,
+                                           const net::HttpRequest &Request,
+                                           std::vector<Endpoint *> &Path);
+  Endpoint *byAddress(const std::string &Address);
+  void run(const std::string &Request, const std::vector<Endpoint *> &Path);
+  Task pause(std::chrono::milliseconds Time);
+
+  boost::asio::io_context m_Io{1};
+  std::recursive_mutex m_Mutex; // guards all below
+  std::map<std::string, std::map<std::string, Row>> m_Tables;
+  std::uint64_t m_Version = 0;
+  std::map<std::string, std::unique_ptr<Endpoint>> m_Endpoints;
+  std::map<std::string, int> m_Runs;
+  std::map<std::string, std::vector<std::string>> m_Paths;
+  std::map<std::string, std::string> m_Stalled; // request to address
+  std::vector<std::string> m_Violations;
+  boost::json::array m_Routes;
+  std::vector<std::string> m_Keys{"key"};
+  std::atomic<StoreMode> m_Mode = StoreMode::Serves;
+  std::atomic<std::chrono::milliseconds> m_Pause{std::chrono::milliseconds(4)};
+  std::unique_ptr<net::HttpServer> m_Store;
+  std::thread m_Thread;
+};
+
+} // namespace mimosadale::tests
+
+#endif
--- /dev/null
+++ b/tests/process/forward_test.cpp
@@ -0,0 +1,277 @@
+// A forwarding router, as a process, before a stand-in of the platform.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "harness/harness.h"
+#include "platform/estate.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+using namespace mimosadale;
+using namespace std::chrono_literals;
+using harness::Headers;
+using tests::Estate;
+
+namespace {
+
+// One router with free ports.
+class Router {
+public:
+  explicit Router(const Estate &Of, const std::string &Name = "r1")
+      : m_Directory(std::filesystem::temp_directory_path() /
+                    ("forward-" + std::to_string(getpid()) + "-" + Name)) {
+    std::filesystem::create_directories(m_Directory);
+    const std::string Settings = m_Directory / "node.toml";
+    std::ofstream(Settings) << "name = \"" << Name << "\"\n"
+                            << "data_centre = \"fukuoka\"\n"
+                            << "callers = \"" << m_Callers << "\"\n"
+                            << "readiness = \"" << m_Readiness << "\"\n"
+                            << "metrics = \"" << m_Metrics << "\"\n"
+                            << "peers = \"127.0.0.1:1\"\n"
+                            << "stop_within_seconds = 8\n"
+                            << "[store]\naddress = \"" << Of.store() << "\"\n"
+                            << "[retries]\nslack = 200\n"
+                            << "window_seconds = 1\n"
+                            << "[log]\nform = \"json\"\n";
+    m_Process = std::make_unique<harness::Process>(
+        Name,
+        std::vector<std::string>{std::string(std::getenv("MIMOSADALE_BIN")) +
+                                     "/mimosadale",
+                                 "--forward", "--config", Settings},
+        m_Directory / "log");
+  }
+  ~Router() {
+    m_Process.reset();
+    std::filesystem::remove_all(m_Directory);
+  }
+
+  const std::string &callers() const { return m_Callers; }
+  harness::Process &process() { return *m_Process; }
+  unsigned readiness() {
+    return harness::http("GET", m_Readiness, "/v1/readiness", {}, "", 500ms)
+        .m_Status;
+  }
+  std::string log() const {
+    std::ifstream In(m_Directory / "log");
+    return {std::istreambuf_iterator<char>(In), {}};
+  }
+
+private:
+  static std::string freeAddress() {
+    static int Next = 20000 + getpid() % 20000;
+    return "127.0.0.1:" + std::to_string(Next++);
+  }
+
+  std::filesystem::path m_Directory;
+  std::string m_Callers = freeAddress();
+  std::string m_Readiness = freeAddress();
+  std::string m_Metrics = freeAddress();
+  std::unique_ptr<harness::Process> m_Process;
+};
+
+Headers headers(const std::string &Request, const std::string &Key = "key",
+                unsigned Answer = 40) {
+  return {{"X-Mimosadale-Request-Id", Request},
+          {"X-Mimosadale-Deadline-Ms", "15000"},
+          {"X-Mimosadale-Token-Count", "100," + std::to_string(Answer)},
+          {"Authorization", "Bearer " + Key}};
+}
+
+// Two data centres of three engines each, and two booking endpoints.
+void fill(Estate &Of) {
+  for (const char *Centre : {"fukuoka", "kumamoto"})
+    for (int I = 0; I < 3; ++I)
+      Of.addEngine(std::string(Centre) + std::to_string(I), Centre);
+  Of.addService("b1", "booking");
+  Of.addService("b2", "booking");
+  Of.configure(1);
+}
+
+bool chainsServe(const Router &At) {
+  harness::EventStream Try(At.callers(), "/guide/try", headers("try"), "x");
+  return Try.status() == 200 && Try.next().has_value();
+}
+
+void waitServing(Router &At) {
+  REQUIRE(harness::eventually([&] { return At.readiness() == 200; }));
+  REQUIRE(harness::eventually([&] { return chainsServe(At); }));
+}
+
+// Reads a stream to its end and checks that ids rise by one. \returns the
+// number of events.
+unsigned readOrdered(harness::EventStream &From, unsigned Already = 0) {
+  unsigned Last = Already;
+  while (const auto Event = From.next()) {
+    REQUIRE(Event->m_Id == std::to_string(Last + 1));
+    ++Last;
+  }
+  return Last;
+}
+
+} // namespace
+
+TEST_CASE("a stream and calls come back whole; keys and routes are checked") {
+  Estate Platform;
+  fill(Platform);
+  Router At(Platform);
+  waitServing(At);
+  harness::EventStream Stream(At.callers(), "/guide/seat", headers("s1"), "x");
+  CHECK(Stream.status() == 200);
+  CHECK_FALSE(Stream.header("X-Mimosadale-Server-Seal").empty());
+  CHECK(readOrdered(Stream) == 40);
+  CHECK(Stream.whole());
+  const auto Book = harness::http("POST", At.callers(), "/book/a?b=c",
+                                  headers("c1"), "seat 4");
+  CHECK(Book.m_Status == 200);
+  CHECK(Book.m_Body == "counter /book/a?b=c seat 4");
+  CHECK(Platform.runs("c1") == 1);
+  CHECK(harness::http("GET", At.callers(), "/look/a", headers("c2", "wrong"))
+            .m_Status == 401);
+  CHECK(
+      harness::http("GET", At.callers(), "/other/a", headers("c3")).m_Status ==
+      404);
+  CHECK(Platform.runs("c2") == 0);
+  CHECK(Platform.violations().empty());
+}
+
+TEST_CASE("an engine falls silent in the middle of streams: they go on whole") {
+  Estate Platform;
+  fill(Platform);
+  Platform.setEventPause(10ms);
+  Router At(Platform);
+  waitServing(At);
+  std::vector<std::unique_ptr<harness::EventStream>> Streams;
+  for (int I = 0; I < 8; ++I) {
+    Streams.push_back(std::make_unique<harness::EventStream>(
+        At.callers(), "/guide/seat",
+        headers("s" + std::to_string(I), "key", 90), "x"));
+    REQUIRE(Streams.back()->next());
+  }
+  const auto Path = Platform.pathOf("s0");
+  REQUIRE(!Path.empty());
+  Platform.silence(Path.back());
+  for (auto &Each : Streams) {
+    CHECK(readOrdered(*Each, 1) == 90);
+    CHECK(Each->whole());
+  }
+  CHECK(Platform.violations().empty());
+}
+
+TEST_CASE("an answer is lost: what may not be repeated ran once and is not "
+          "called \"not run\"") {
+  Estate Platform;
+  fill(Platform);
+  Router At(Platform);
+  waitServing(At);
+  Platform.loseAnswers("b1", 1);
+  Platform.loseAnswers("b2", 1);
+  const auto Book =
+      harness::http("POST", At.callers(), "/book/a", headers("c1"), "seat 4");
+  CHECK(Book.m_Status == 502);
+  CHECK(Platform.runs("c1") == 1);
+  Platform.loseAnswers("b1", 1);
+  Platform.loseAnswers("b2", 0);
+  for (int I = 0; I < 6; ++I) {
+    const std::string Id = "l" + std::to_string(I);
+    CHECK(harness::http("GET", At.callers(), "/look/a", headers(Id)).m_Status ==
+          200);
+    CHECK(Platform.runs(Id) <= 2);
+  }
+}
+
+TEST_CASE("the store is silent or refuses: what is loaded goes on serving, and "
+          "the configuration after it is adopted") {
+  Estate Platform;
+  fill(Platform);
+  Router At(Platform);
+  waitServing(At);
+  for (const auto Mode :
+       {tests::StoreMode::Silent, tests::StoreMode::Refuses}) {
+    Platform.setStore(Mode);
+    std::this_thread::sleep_for(600ms);
+    harness::EventStream Stream(At.callers(), "/guide/seat", headers("s1"),
+                                "x");
+    CHECK(readOrdered(Stream) == 40);
+    Platform.setStore(tests::StoreMode::Serves);
+  }
+  Platform.setKeys({"fresh"});
+  Platform.configure(9);
+  CHECK(harness::eventually([&] {
+    return harness::http("GET", At.callers(), "/look/a", headers("k1", "key"))
+               .m_Status == 401;
+  }));
+  CHECK(harness::http("GET", At.callers(), "/look/a", headers("k2", "fresh"))
+            .m_Status == 200);
+  // An older one is not adopted.
+  Platform.setKeys({"key"});
+  Platform.configure(3);
+  std::this_thread::sleep_for(500ms);
+  CHECK(harness::http("GET", At.callers(), "/look/a", headers("k3", "fresh"))
+            .m_Status == 200);
+}
+
+TEST_CASE("a leaving endpoint gets nothing more, and its layers move") {
+  Estate Platform;
+  fill(Platform);
+  Router At(Platform);
+  waitServing(At);
+  Platform.drain("b1");
+  Platform.drain("fukuoka1");
+  std::this_thread::sleep_for(1s);
+  for (int I = 0; I < 12; ++I) {
+    const std::string Id = "d" + std::to_string(I);
+    harness::http("GET", At.callers(), "/look/a", headers(Id));
+    harness::EventStream Stream(At.callers(), "/guide/x", headers("g" + Id),
+                                "x");
+    CHECK(readOrdered(Stream) == 40);
+    for (const std::string &Each : Platform.pathOf("g" + Id))
+      CHECK(Each != "fukuoka1");
+    for (const std::string &Each : Platform.pathOf(Id))
+      CHECK(Each != "b1");
+  }
+  CHECK(harness::eventually([&] {
+    return Platform.layers("fukuoka0").m_End -
+               Platform.layers("fukuoka0").m_First +
+               Platform.layers("fukuoka2").m_End -
+               Platform.layers("fukuoka2").m_First >=
+           12;
+  }));
+  CHECK(Platform.violations().empty());
+}
+
+TEST_CASE("SIGTERM: not ready at once, the stream in progress ends whole, and "
+          "the process leaves") {
+  Estate Platform;
+  fill(Platform);
+  Platform.setEventPause(40ms);
+  Router At(Platform);
+  waitServing(At);
+  harness::EventStream Stream(At.callers(), "/guide/seat",
+                              headers("s1", "key", 80), "x");
+  REQUIRE(Stream.next());
+  At.process().signal(SIGTERM);
+  CHECK(harness::eventually([&] { return At.readiness() != 200; }, 1s));
+  CHECK(readOrdered(Stream, 1) == 80);
+  CHECK(Stream.whole());
+  CHECK(At.process().wait() == 0);
+}
+
+TEST_CASE("entries of other writers leave the rest standing") {
+  Estate Platform;
+  Platform.put("servers", "odd1", "not json");
+  Platform.put("servers", "odd2", R"({"Service":"booking","Address":7})");
+  Platform.put("servers", "odd3",
+               R"({"Service":"booking","Address":"127.0.0.1:1","Zone":"x",
+                   "State":"asleep"})");
+  fill(Platform);
+  Router At(Platform);
+  waitServing(At);
+  for (int I = 0; I < 6; ++I)
+    CHECK(harness::http("GET", At.callers(), "/look/a",
+                        headers("l" + std::to_string(I)))
+              .m_Status == 200);
+  CHECK(At.log().find("registry_entry_unreadable") != std::string::npos);
+}
