A pause alone ends no answer; engines that leave serve until others hold their layers

Ruled out: the deadline and the route's time-out, which were far off. Change: a send that stands still is given up only where another chain has room and a retry is left; an engine that leaves takes part in paths for one second while its neighbours add its layers to theirs.

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -36,13 +36,15 @@
   m_Model = Model;
   m_Chains.clear();
   std::map<DataCentreId, std::vector<StagePlan>> ByDataCentre;
+  std::map<DataCentreId, std::vector<StagePlan>> Leaving;
   std::vector<StagePlan> All;
   for (const auto &[Id, Known] : Engines.all()) {
     const LayerRange Held = Known.m_Record.m_Layers;
-    if (Known.m_Record.m_Service != Service || !Known.usable() ||
+    if (Known.m_Record.m_Service != Service || !Known.passable() ||
         Held.m_First >= Held.m_End)
       continue;
-    ByDataCentre[Known.m_Record.m_DataCentre].push_back({Id, Held});
+    auto &Here = Known.usable() ? ByDataCentre : Leaving;
+    Here[Known.m_Record.m_DataCentre].push_back({Id, Held});
     All.push_back({Id, Held});
   }
   const auto Add = [&](Path Stages) {
@@ -65,9 +67,15 @@
     Fresh.m_Stages = std::move(Stages);
     m_Chains.push_back(std::move(Fresh));
   };
-  for (auto &[DataCentre, Left] : ByDataCentre)
+  for (auto &[DataCentre, Left] : ByDataCentre) {
     for (Path &Stages : disjointTilings(Left, Model.m_Layers))
       Add(std::move(Stages));
+    // What is left may still make a chain with engines that are leaving.
+    const auto &Going = Leaving[DataCentre];
+    Left.insert(Left.end(), Going.begin(), Going.end());
+    for (Path &Stages : disjointTilings(Left, Model.m_Layers))
+      Add(std::move(Stages));
+  }
   if (m_Chains.empty())
     if (Path Stages = fewestStages(All, Model.m_Layers); !Stages.empty())
       Add(std::move(Stages));
--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+// Time after it was seen to leave in which an engine still takes part in paths:
+// half of the shortest time in which it must get nothing more.
+constexpr Duration LeavingUse = std::chrono::milliseconds(1000);
+
 bool samePlace(const EndpointRecord &A, const EndpointRecord &B) {
   return A.m_Service == B.m_Service && A.m_Address == B.m_Address &&
          A.m_Leaving == B.m_Leaving && A.m_Layers == B.m_Layers &&
@@ -22,8 +26,10 @@
     Known = FleetEndpoint{};
   if (samePlace(Known.m_Record, Record))
     return;
-  if (Record.m_Leaving && !Known.m_Record.m_Leaving)
+  if (Record.m_Leaving && !Known.m_Record.m_Leaving) {
     Known.m_LeavingSince = Now;
+    Known.m_LeavingOver = false;
+  }
   Known.m_Record = Record;
   ++m_Revision;
 }
@@ -48,6 +54,15 @@
     remove(Each);
 }
 
+void Fleet::onTick(Instant Now) {
+  for (auto &[Id, Known] : m_All)
+    if (Known.m_Record.m_Leaving && !Known.m_LeavingOver &&
+        Now - Known.m_LeavingSince > LeavingUse) {
+      Known.m_LeavingOver = true;
+      ++m_Revision;
+    }
+}
+
 bool Fleet::suspect(const EndpointId &Id, const std::string &Why, Instant Now) {
   const auto Found = m_All.find(Id);
   if (Found == m_All.end() || Found->second.m_Suspect)
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -51,7 +51,16 @@
   std::optional<EngineLoadReport> m_Load;
   Instant m_LoadAt{};
 
+  bool m_LeavingOver = false; // it has been leaving for too long to be used
+
+  /// Whether layers may be planned on it.
   bool usable() const { return !m_Suspect && !m_Record.m_Leaving; }
+
+  /// Whether a path may still lead through it: for a moment after it began to
+  /// leave, while others load its layers.
+  bool passable() const {
+    return !m_Suspect && (!m_Record.m_Leaving || !m_LeavingOver);
+  }
 };
 
 /// Endpoints by id. Every change that bears on paths raises the revision.
@@ -70,6 +79,9 @@
   /// Replaces the whole registry view; what is not listed is removed.
   void replaceAll(const std::vector<EndpointRecord> &Records, Instant Now);
 
+  /// Notes the passing of time. \pre Called several times a second.
+  void onTick(Instant Now);
+
   /// Distrusts \p Id until `clear`. \returns whether that is news.
   bool suspect(const EndpointId &Id, const std::string &Why, Instant Now);
 
--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -63,6 +63,11 @@
   return giveUp(How);
 }
 
+bool ForwardRun::maySwitch(Instant Now) const {
+  return repeatable() && Now + LeastTimeLeft < end() &&
+         m_Tried.size() < m_Start.m_MaxEndpoints && m_Sends < MostSends;
+}
+
 ForwardStep ForwardRun::giveUp(SendFault How) const {
   if (m_HeadDelivered)
     return CutOff{schema::ENDPOINT_FAILED};
--- a/packages/decide/forward_run.h
+++ b/packages/decide/forward_run.h
@@ -77,6 +77,10 @@
   ForwardStep onFault(SendFault How, const EndpointSet &Lost, Instant Now,
                       const TakeRetry &Budget);
 
+  /// Whether a send that stands still may be given up for another one. It may
+  /// not where none could follow: a pause alone is no reason to end an answer.
+  bool maySwitch(Instant Now) const;
+
   /// No endpoint can take the request now.
   ForwardStep onNoEndpoint(schema::Reason Why, Duration RetryAfter);
 
--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -67,8 +67,9 @@
 // Plans for the engines of one data centre.
 class DataCentrePlan {
 public:
-  DataCentrePlan(const EngineModel &Model, Members All)
-      : m_Model(Model), m_All(std::move(All)) {}
+  DataCentrePlan(const EngineModel &Model, Members All,
+                 std::vector<StagePlan> Leaving)
+      : m_Model(Model), m_All(std::move(All)), m_Leaving(std::move(Leaving)) {}
 
   std::vector<PlaceOrder> orders() {
     const bool Empty =
@@ -86,6 +87,13 @@
         std::max<std::size_t>(1, chainCount(m_All, m_Model));
     const std::vector<Path> Chains = disjointTilings(Left, m_Model.m_Layers);
     if (Chains.size() < Wanted) {
+      std::vector<StagePlan> Serving = Left;
+      Serving.insert(Serving.end(), m_Leaving.begin(), m_Leaving.end());
+      // While an engine that leaves still serves, the others only add its
+      // layers to theirs.
+      m_EnoughFree = fewestStages(Serving, m_Model.m_Layers).empty()
+                         ? TightFree
+                         : LeastFree;
       fillGap(Left);
       return m_Orders;
     }
@@ -221,7 +229,7 @@
           BestRanges = Ranges;
         }
       }
-      if (Best >= TightFree || (First == 0 && Last == Chain.size()))
+      if (Best >= m_EnoughFree || (First == 0 && Last == Chain.size()))
         break;
       First -= First > 0 ? 1 : 0;
       Last += Last < Chain.size() ? 1 : 0;
@@ -322,6 +330,8 @@
 
   const EngineModel &m_Model;
   Members m_All;
+  std::vector<StagePlan> m_Leaving; // engines that leave and still serve
+  double m_EnoughFree = TightFree;  // at which a gap counts as well filled
   std::vector<PlaceOrder> m_Orders;
 };
 
@@ -359,16 +369,22 @@
                                    const ServiceId &Service,
                                    const EngineModel &Model) {
   std::map<DataCentreId, Members> ByDataCentre;
+  std::map<DataCentreId, std::vector<StagePlan>> Leaving;
   for (const auto &[Id, Known] : Engines.all()) {
     const auto Kind = Model.m_Kinds.find(Known.m_Record.m_Accelerator);
-    if (Known.m_Record.m_Service == Service && Known.usable() &&
-        Kind != Model.m_Kinds.end())
+    if (Known.m_Record.m_Service != Service || Kind == Model.m_Kinds.end())
+      continue;
+    if (Known.usable())
       ByDataCentre[Known.m_Record.m_DataCentre].push_back(
           {Id, Kind->second.m_MemoryMb, Known.m_Record.m_Layers});
+    else if (Known.passable())
+      Leaving[Known.m_Record.m_DataCentre].push_back(
+          {Id, Known.m_Record.m_Layers});
   }
   std::vector<PlaceOrder> Orders;
   for (auto &[DataCentre, All] : ByDataCentre)
-    for (PlaceOrder &Each : DataCentrePlan(Model, std::move(All)).orders())
+    for (PlaceOrder &Each :
+         DataCentrePlan(Model, std::move(All), Leaving[DataCentre]).orders())
       Orders.push_back(std::move(Each));
   return Orders;
 }
--- a/packages/decide/retry_budget.cpp
+++ b/packages/decide/retry_budget.cpp
@@ -29,8 +29,8 @@
 
 void WindowedRetryBudget::onFirstTry(Instant Now) { ++partAt(Now).m_First; }
 
-bool WindowedRetryBudget::take(Instant Now, std::size_t Routers) {
-  Part &Present = partAt(Now);
+bool WindowedRetryBudget::allows(Instant Now, std::size_t Routers) {
+  const Part &Present = partAt(Now);
   double First = 0;
   double Again = 0;
   for (const Part &Each : m_Parts) {
@@ -42,9 +42,13 @@
   const double Grown =
       std::min(1.0, seconds(Now - m_Begun) / seconds(m_Bounds.m_Window));
   const double Slack = Grown * m_Bounds.m_Slack / static_cast<double>(Routers);
-  if (Again + 1 > m_Bounds.m_Fraction * First + Slack)
+  return Again + 1 <= m_Bounds.m_Fraction * First + Slack;
+}
+
+bool WindowedRetryBudget::take(Instant Now, std::size_t Routers) {
+  if (!allows(Now, Routers))
     return false;
-  ++Present.m_Again;
+  ++partAt(Now).m_Again;
   return true;
 }
 
--- a/packages/decide/retry_budget.h
+++ b/packages/decide/retry_budget.h
@@ -58,8 +58,11 @@
   /// Notes a first try. \pre Time does not go back, here and below.
   void onFirstTry(Instant Now);
 
-  /// Takes one retry; false when the window has no room for it.
+  /// Whether the window has room for a retry.
   /// \param Routers that share the slack, this one included.
+  bool allows(Instant Now, std::size_t Routers);
+
+  /// Takes one retry; false when the window has no room for it.
   bool take(Instant Now, std::size_t Routers);
 
 private:
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -51,6 +51,7 @@
                                          m_Shared.m_Calls->end());
   for (ForwardCall *Each : Calls)
     Each->onTick(Now);
+  m_Shared.m_Fleet.onTick(Now);
   askOverdue(Now);
   askAccused(Now);
   askSuspects(Now);
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -434,16 +434,34 @@
 void ForwardCall::onTick(Instant Now) {
   if (!m_Run || !m_Waiting)
     return;
+  const bool Unconnected =
+      m_Connecting && Now - m_LastProgress > ConnectTimeout;
   if (Now >= m_Run->end())
     end(Ended::Timeout);
-  else if (m_Connecting && Now - m_LastProgress > ConnectTimeout)
-    end(Ended::EngineLost);
-  else if (m_Route->m_Resumable && !m_Target.m_Path.empty() &&
-           ((!overdueAt(Now).empty() && pathLost()) ||
-            Now - m_LastProgress > LongestPause))
+  else if (Unconnected || (standsStill(Now) && canGoElsewhere(Now)))
     end(Ended::EngineLost);
 }
 
+// Whether the request waits for an engine that is lost, or for too long.
+bool ForwardCall::standsStill(Instant Now) const {
+  return !m_Connecting && m_Route->m_Resumable && !m_Target.m_Path.empty() &&
+         ((!overdueAt(Now).empty() && pathLost()) ||
+          Now - m_LastProgress > LongestPause);
+}
+
+// Whether another chain has room for the request, and a retry is left for it.
+bool ForwardCall::canGoElsewhere(Instant Now) {
+  if (!m_Run->maySwitch(Now) ||
+      !m_Shared.budgetOf(m_Service).allows(Now, m_Shared.m_Routers))
+    return false;
+  decide::EndpointSet Avoid = m_Run->avoided();
+  Avoid.insert(m_Target.m_Endpoint);
+  return m_Shared.chainsOf(m_Service)->choose(
+             m_Shared.m_Fleet, m_Facts.m_Size.value_or(decide::RequestSize{}),
+             DataCentreId(m_Shared.m_Settings.data_centre()), Avoid, Now,
+             m_Shared.m_Random) != nullptr;
+}
+
 // Whether an engine of the present path is gone or distrusted.
 bool ForwardCall::pathLost() const {
   return std::any_of(m_Target.m_Path.begin(), m_Target.m_Path.end(),
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -67,6 +67,8 @@
   decide::ForwardStep ended();
   boost::asio::awaitable<void> toCaller(boost::asio::awaitable<void> Write);
   bool pathLost() const;
+  bool standsStill(Instant Now) const;
+  bool canGoElsewhere(Instant Now);
   boost::asio::awaitable<void> refuse(decide::Refusal Why);
   net::HttpRequest encode(const Target &To) const;
   void charge(const Target &To, int Sign);
@@ -85,7 +87,6 @@
   std::optional<decide::ForwardRun> m_Run;
   std::optional<decide::Refusal> m_Refused; // before any send
   Target m_Target;                          // of the present send
-  double m_Charged = 0;                     // tokens
   std::function<void()> m_Cancel;           // of the present send
   Ended m_Ended = Ended::No;
   bool m_CallerGone = false;
