An entry that the registry drops is treated as leaving, not as lost

Change: a dropped entry takes part for the same second as one that drains; a gap draws in engines until a fifth of their memory is free, an eighth while the leaving engine still serves.

--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -24,6 +24,7 @@
                          Record.m_StartedMs > Known.m_Record.m_StartedMs;
   if (Restarted)
     Known = FleetEndpoint{};
+  Known.m_Dropped = false;
   if (samePlace(Known.m_Record, Record))
     return;
   if (Record.m_Leaving && !Known.m_Record.m_Leaving) {
@@ -34,9 +35,17 @@
   ++m_Revision;
 }
 
-void Fleet::remove(const EndpointId &Id) {
-  if (m_All.erase(Id) > 0)
-    ++m_Revision;
+void Fleet::remove(const EndpointId &Id, Instant Now) {
+  const auto Found = m_All.find(Id);
+  if (Found == m_All.end() || Found->second.m_Dropped)
+    return;
+  FleetEndpoint &Known = Found->second;
+  Known.m_Dropped = true;
+  if (!Known.m_Record.m_Leaving) {
+    Known.m_Record.m_Leaving = true;
+    Known.m_LeavingSince = Now;
+  }
+  ++m_Revision;
 }
 
 void Fleet::replaceAll(const std::vector<EndpointRecord> &Records,
@@ -51,10 +60,13 @@
     if (!Listed.contains(Id))
       Gone.push_back(Id);
   for (const EndpointId &Each : Gone)
-    remove(Each);
+    remove(Each, Now);
 }
 
 void Fleet::onTick(Instant Now) {
+  std::erase_if(m_All, [&](const auto &Each) {
+    return Each.second.m_Dropped && Each.second.m_LeavingOver;
+  });
   for (auto &[Id, Known] : m_All)
     if (Known.m_Record.m_Leaving && !Known.m_LeavingOver &&
         Now - Known.m_LeavingSince > LeavingUse) {
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -51,6 +51,7 @@
   std::optional<EngineLoadReport> m_Load;
   Instant m_LoadAt{};
 
+  bool m_Dropped = false;     // by the registry
   bool m_LeavingOver = false; // it has been leaving for too long to be used
 
   /// Whether layers may be planned on it.
@@ -73,8 +74,9 @@
   /// was believed before.
   void put(const EndpointRecord &Record, Instant Now);
 
-  /// The registry dropped \p Id: it gets nothing more.
-  void remove(const EndpointId &Id);
+  /// The registry dropped \p Id: as one that leaves, since it may go on serving
+  /// for a while, and it is forgotten after that.
+  void remove(const EndpointId &Id, Instant Now);
 
   /// Replaces the whole registry view; what is not listed is removed.
   void replaceAll(const std::vector<EndpointRecord> &Records, Instant Now);
--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -21,6 +21,12 @@
 // Free part below which an engine is tight and hands layers on.
 constexpr double TightFree = 0.28;
 
+// Free part at which no more engines are drawn into filling a gap: each one
+// that is reloads. Less while an engine that leaves still serves the gap, since
+// the others then only add to what they hold.
+constexpr double GapFree = 0.20;
+constexpr double LeavingGapFree = 0.12;
+
 // Gain in the free part of the tighter engine below which no layer is moved.
 constexpr double LeastGain = 0.08;
 
@@ -92,8 +98,8 @@
       // While an engine that leaves still serves, the others only add its
       // layers to theirs.
       m_EnoughFree = fewestStages(Serving, m_Model.m_Layers).empty()
-                         ? TightFree
-                         : LeastFree;
+                         ? GapFree
+                         : LeavingGapFree;
       fillGap(Left);
       return m_Orders;
     }
@@ -331,7 +337,7 @@
   const EngineModel &m_Model;
   Members m_All;
   std::vector<StagePlan> m_Leaving; // engines that leave and still serve
-  double m_EnoughFree = TightFree;  // at which a gap counts as well filled
+  double m_EnoughFree = GapFree;    // at which a gap counts as well filled
   std::vector<PlaceOrder> m_Orders;
 };
 
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -194,7 +194,7 @@
       router::logEvent(
           schema::INFO, "endpoint_gone",
           {{"endpoint", Each.m_Key}, {"row", std::to_string(Each.m_Version)}});
-      m_Shared.m_Fleet.remove(EndpointId(Each.m_Key));
+      m_Shared.m_Fleet.remove(EndpointId(Each.m_Key), ForwardState::now());
       continue;
     }
     try {
@@ -205,7 +205,7 @@
                        {{"endpoint", Each.m_Key},
                         {"row", std::to_string(Each.m_Version)},
                         {"detail", Wrong.what()}});
-      m_Shared.m_Fleet.remove(EndpointId(Each.m_Key));
+      m_Shared.m_Fleet.remove(EndpointId(Each.m_Key), ForwardState::now());
     }
   }
   for (const decide::EndpointRecord &Each : Records) {
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -304,3 +304,30 @@
   Second.onFenced(T0 + 3200ms);
   CHECK_FALSE(Second.fence(T0 + 3200ms));
 }
+
+TEST_CASE(
+    "an engine that leaves, announced or not, serves until its layers are "
+    "held elsewhere, and no longer than a second") {
+  for (const bool Announced : {true, false}) {
+    Fleet Made = dataCentre();
+    settle(Made);
+    const EndpointId Leaver("l4-1");
+    EndpointRecord Record = Made.find(Leaver)->m_Record;
+    Record.m_Leaving = true;
+    if (Announced)
+      Made.put(Record, T0);
+    else
+      Made.remove(Leaver, T0);
+    CHECK(chains(Made) == 1);
+    // No engine gives up layers meanwhile.
+    for (const PlaceOrder &Each : planLayers(Made, Llm, model())) {
+      const LayerRange Held = Made.find(Each.m_Engine)->m_Record.m_Layers;
+      CHECK(Each.m_Layers.m_First <= Held.m_First);
+      CHECK(Each.m_Layers.m_End >= Held.m_End);
+    }
+    Made.onTick(T0 + 1100ms);
+    CHECK(chains(Made) == 0);
+    CHECK(settle(Made) >= 0);
+    CHECK(chains(Made) == 1);
+  }
+}
