--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -22,11 +22,10 @@
 constexpr double TightFree = 0.28;
 
 // Free part at which no more engines are drawn into filling a gap: each one
-// that is reloads.
+// that is reloads. Less while an engine that leaves still serves the gap, since
+// the others then only add to what they hold.
 constexpr double GapFree = 0.20;
-
-// Free part that the engines beside a gap keep when they only add its layers.
-constexpr double AddedFree = 0.10;
+constexpr double LeavingGapFree = 0.12;
 
 // Gain in the free part of the tighter engine below which no layer is moved.
 constexpr double LeastGain = 0.08;
@@ -98,7 +97,9 @@
       Serving.insert(Serving.end(), m_Leaving.begin(), m_Leaving.end());
       // While an engine that leaves still serves, the others only add its
       // layers to theirs.
-      m_StillServed = !fewestStages(Serving, m_Model.m_Layers).empty();
+      m_EnoughFree = fewestStages(Serving, m_Model.m_Layers).empty()
+                         ? GapFree
+                         : LeavingGapFree;
       fillGap(Left);
       return m_Orders;
     }
@@ -204,52 +205,9 @@
     for (const Member &Each : m_All)
       if (Each.layers() == 0)
         Idle.push_back(Each);
-    if (m_StillServed && addToNeighbours(Chain, *Gap, First, Idle))
-      return;
     fillFromWindow(Chain, *Gap, First, Last, std::move(Idle));
   }
 
-  // Lets an idle engine, or the engines at the two ends of the gap, take its
-  // layers beside what they hold. \returns whether they fit.
-  bool addToNeighbours(const Members &Chain, LayerRange Gap, std::size_t Right,
-                       const Members &Idle) {
-    const std::uint32_t Wanted = Gap.m_End - Gap.m_First;
-    for (const Member &Each : Idle)
-      if (freePart(Each, Wanted) >= GapFree) {
-        order(Each.m_Id, Gap);
-        return true;
-      }
-    Members Ends;
-    std::vector<std::uint32_t> Take;
-    if (Right > 0)
-      Ends.push_back(Chain[Right - 1]);
-    if (Right < Chain.size())
-      Ends.push_back(Chain[Right]);
-    Take.resize(Ends.size());
-    for (std::uint32_t L = 0; L < Wanted; ++L) {
-      std::size_t Best = Ends.size();
-      double BestFree = AddedFree;
-      for (std::size_t I = 0; I < Ends.size(); ++I) {
-        const double Free = freePart(Ends[I], Ends[I].layers() + Take[I] + 1);
-        if (Free >= BestFree) {
-          BestFree = Free;
-          Best = I;
-        }
-      }
-      if (Best == Ends.size())
-        return false;
-      ++Take[Best];
-    }
-    for (std::size_t I = 0; I < Ends.size(); ++I) {
-      const LayerRange Held = Ends[I].m_Held;
-      const bool Left = Held.m_End <= Gap.m_First;
-      order(Ends[I].m_Id, Left
-                              ? LayerRange{Held.m_First, Held.m_End + Take[I]}
-                              : LayerRange{Held.m_First - Take[I], Held.m_End});
-    }
-    return true;
-  }
-
   // Widens the window [First, Last) of the chain around the gap until its
   // engines, with the idle ones in the gap, have room for requests.
   void fillFromWindow(const Members &Chain, LayerRange Gap, std::size_t First,
@@ -277,7 +235,7 @@
           BestRanges = Ranges;
         }
       }
-      if (Best >= GapFree || (First == 0 && Last == Chain.size()))
+      if (Best >= m_EnoughFree || (First == 0 && Last == Chain.size()))
         break;
       First -= First > 0 ? 1 : 0;
       Last += Last < Chain.size() ? 1 : 0;
@@ -379,7 +337,7 @@
   const EngineModel &m_Model;
   Members m_All;
   std::vector<StagePlan> m_Leaving; // engines that leave and still serve
-  bool m_StillServed = false;       // by them, where layers have a gap
+  double m_EnoughFree = GapFree;    // at which a gap counts as well filled
   std::vector<PlaceOrder> m_Orders;
 };
 
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -311,7 +311,7 @@
   for (const bool Announced : {true, false}) {
     Fleet Made = dataCentre();
     settle(Made);
-    const EndpointId Leaver("t4-3");
+    const EndpointId Leaver("l4-1");
     EndpointRecord Record = Made.find(Leaver)->m_Record;
     Record.m_Leaving = true;
     if (Announced)
