Decisions on chains are logged; feeds wait longer behind a keep-alive

Change: TCP keep-alive notices silence in some 3 s, feeds wait 20 s; the interval of load reports grows with the routers. Each choice of a chain, and each failure to find one, is one line with fill and age of the report; lines are bounded and never block.

--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -5,6 +5,7 @@
 #include "platform/names.h"
 #include "router/log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +26,11 @@
 constexpr Duration SuspectInterval = std::chrono::milliseconds(500);
 constexpr Duration LoadInterval = std::chrono::milliseconds(800);
 
+// The interval for the load grows with the routers that all ask: from this many
+// on in proportion, up to the longest.
+constexpr int RoutersOfLoadInterval = 16;
+constexpr Duration LongestLoadInterval = std::chrono::milliseconds(2000);
+
 // Time after which an engine that does not report counts as silent.
 constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
 
@@ -85,13 +91,17 @@
   const auto &Routes = m_Shared.m_Routes.current();
   if (!Routes || m_Shared.m_Calls->empty())
     return;
+  const Duration Interval =
+      std::clamp(LoadInterval * static_cast<int>(m_Shared.m_Routers) /
+                     RoutersOfLoadInterval,
+                 LoadInterval, LongestLoadInterval);
   for (const decide::ServiceInfo &Each : Routes->config().m_Services) {
     const decide::ChainRouter *Chains = m_Shared.chainsOf(Each.m_Name);
     if (!Chains)
       continue;
     for (const decide::Chain &Chain : Chains->chains()) {
-      askOnce(Chain.m_Tightest, Now, LoadInterval);
-      askOnce(Chain.m_Stages.front().m_Endpoint, Now, LoadInterval);
+      askOnce(Chain.m_Tightest, Now, Interval);
+      askOnce(Chain.m_Stages.front().m_Endpoint, Now, Interval);
     }
   }
 }
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -5,6 +5,7 @@
 #include "router/replies.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mimosadale::forward {
 
@@ -173,8 +174,11 @@
   const decide::Chain *Chosen = m_Shared.chainsOf(m_Service)->choose(
       m_Shared.m_Fleet, Size, DataCentreId(m_Shared.m_Settings.data_centre()),
       m_Run->avoided(), ForwardState::now(), m_Shared.m_Random);
-  if (!Chosen)
+  if (!Chosen) {
+    logNoChain();
     return std::nullopt;
+  }
+  logSend(*Chosen);
   Target To;
   To.m_Path = Chosen->m_Stages;
   To.m_Endpoint = To.m_Path.front().m_Endpoint;
@@ -183,6 +187,42 @@
   return To;
 }
 
+// The fill of a chain, and how old the report is that it rests on.
+std::string ForwardCall::describe(const decide::Chain &Of) const {
+  const Instant Now = ForwardState::now();
+  const auto *First = m_Shared.m_Fleet.find(Of.m_Stages.front().m_Endpoint);
+  const double Fill =
+      m_Shared.chainsOf(m_Service)->fill(m_Shared.m_Fleet, Of, Now);
+  return Of.m_DataCentre.str() + (Of.m_Crosses ? " crossing" : "") + " fill " +
+         std::to_string(std::lround(Fill * 100)) + "% report " +
+         (First && First->m_Load ? millisText(Now - First->m_LoadAt) + " ms old"
+                                 : "none");
+}
+
+void ForwardCall::logSend(const decide::Chain &To) const {
+  router::logEvent(
+      schema::INFO, "chain_chosen",
+      {{"request", m_Facts.m_Id.str()},
+       {"first", To.m_Stages.front().m_Endpoint.str()},
+       {"stages", std::to_string(To.m_Stages.size())},
+       {"chain", describe(To)},
+       {"tokens", std::to_string(std::lround(
+                      m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0))},
+       {"left_ms", millisText(m_Run->end() - ForwardState::now())}});
+}
+
+void ForwardCall::logNoChain() const {
+  std::string Chains;
+  for (const decide::Chain &Each : m_Shared.chainsOf(m_Service)->chains())
+    Chains += (Chains.empty() ? "" : "; ") + describe(Each);
+  router::logEvent(
+      schema::INFO, "no_chain",
+      {{"request", m_Facts.m_Id.str()},
+       {"chains", Chains.empty() ? "none is whole" : Chains},
+       {"avoided", std::to_string(m_Run->avoided().size())},
+       {"fleet_revision", std::to_string(m_Shared.m_Fleet.revision())}});
+}
+
 // The endpoint with the fewest requests of this router; one of this data centre
 // where two are alike.
 std::optional<ForwardCall::Target> ForwardCall::choosePlain() {
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -53,6 +53,9 @@
   std::optional<Target> chooseTarget();
   std::optional<Target> chooseChain();
   std::optional<Target> choosePlain();
+  std::string describe(const decide::Chain &Of) const;
+  void logSend(const decide::Chain &To) const;
+  void logNoChain() const;
   boost::asio::awaitable<std::optional<decide::ForwardStep>> sendTo(Target To);
   boost::asio::awaitable<std::optional<decide::ForwardStep>>
   exchange(Target To);
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -16,12 +16,9 @@
 
 namespace {
 
-// How long one call of a feed waits for a change: far below the store's limit,
-// so that a connection that went silent is noticed.
-constexpr Duration FeedWait = std::chrono::seconds(4);
-
-// The same for the routers' table, which changes seldom and is not urgent.
-constexpr Duration RoutersWait = std::chrono::seconds(20);
+// How long one call of a feed waits for a change: below the store's limit of
+// 30 s. That the connection still works is the keep-alive's matter.
+constexpr Duration FeedWait = std::chrono::seconds(20);
 
 // Pauses between calls of a feed while changes come: shorter than the time in
 // which a change must be in force, long enough to take several at once.
@@ -88,7 +85,7 @@
   Apply Take = [this](const platform::Rows &Changes, bool Whole) {
     takeRouters(Changes, Whole);
   };
-  Feed From{platform::RoutersTable, RoutersWait, [] { return RegisterPause; }};
+  Feed From{platform::RoutersTable, FeedWait, [] { return RegisterPause; }};
   co_await follow(std::move(From), std::move(Take));
 }
 
--- a/packages/net/client.cpp
+++ b/packages/net/client.cpp
@@ -7,8 +7,12 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <map>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace mimosadale::net {
 
@@ -22,6 +26,25 @@
 // Idle connections kept for one server.
 constexpr std::size_t MaxIdlePerServer = 256;
 
+// Keep-alive of connections: a peer that a cut or a lost connection state has
+// silenced is noticed after about three seconds, also while nothing is awaited.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAlivePauseSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+void keepAlive(tcp::socket &Socket) {
+  Socket.set_option(asio::socket_base::keep_alive(true));
+  const int Handle = Socket.native_handle();
+  const auto Set = [Handle](int Name, int Value) {
+    if (setsockopt(Handle, IPPROTO_TCP, Name, &Value, sizeof(Value)) != 0)
+      throw boost::system::system_error(errno,
+                                        boost::system::system_category());
+  };
+  Set(TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  Set(TCP_KEEPINTVL, KeepAlivePauseSeconds);
+  Set(TCP_KEEPCNT, KeepAliveProbes);
+}
+
 // One open connection; everything on it happens on its own strand, because its
 // timeouts fire there.
 struct Connection {
@@ -82,6 +105,7 @@
                                Server.m_Port);
     co_await Open->m_Stream.async_connect(Target, asio::use_awaitable);
     Open->m_Stream.socket().set_option(tcp::no_delay(true));
+    keepAlive(Open->m_Stream.socket());
   } catch (const beast::system_error &Wrong) {
     fail(Phase::Connect, Wrong);
   }
--- a/packages/router/log.h
+++ b/packages/router/log.h
@@ -21,7 +21,9 @@
 /// library is initialised. Safe from any thread.
 void setUpLog(const schema::LogSettings &Settings, const std::string &Node);
 
-/// Writes one event. Safe from any thread.
+/// Writes one event. Lines beyond a bounded rate, and lines that the output
+/// would not take at once, are dropped and counted by a later line. Safe from
+/// any thread.
 void logEvent(schema::LogLevel Level, std::string_view Event,
               const std::vector<LogField> &Fields = {});
 
