--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,5 +6,5 @@
 if [ $# -gt 0 ]; then
   printf '%s\n' "$@"
 else
-  git ls-files 'packages/*.cpp' | grep -v '/generated/'
+  git ls-files 'packages/*.cpp' 'platform/*.cpp' | grep -v '/generated/'
 fi | xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet
