A stream that is partly out outlives a refusal at its next endpoint

Change: once a part is out, an endpoint that did not run the request does not count. Test failed before.

--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -49,7 +49,10 @@
     m_Run.dispatchNeverSent();
   if (How == SendFault::SaidNotRun)
     m_Run.endpointSaidNotRun(true);
-  if (How == SendFault::NotSent)
+  // An endpoint that did not run it stands in no other's way where a part of
+  // the answer is out already and only a broken answer would be left.
+  if (How == SendFault::NotSent ||
+      (How == SendFault::SaidNotRun && m_HeadDelivered))
     m_Tried.erase(m_Current);
   m_Avoided.insert(Lost.begin(), Lost.end());
   const bool May = (repeatable() || m_Run.proof()) &&
--- a/tests/unit/forward_run_test.cpp
+++ b/tests/unit/forward_run_test.cpp
@@ -125,6 +125,27 @@
   CHECK(States > 500);
 }
 
+TEST_CASE(
+    "a stream that is partly out outlives a refusal at its next endpoint") {
+  ForwardStart Start;
+  Start.m_Kind = CallKind::Stream;
+  Start.m_Resumable = true;
+  Start.m_MaxEndpoints = 2;
+  Start.m_Deadline = Start.m_Timeout = T0 + 10s;
+  ForwardRun Run(Start);
+  const auto Budget = [] { return true; };
+  Run.beforeSend(EndpointId("a"));
+  Run.onHeadDelivered();
+  REQUIRE(std::holds_alternative<SendAgain>(
+      Run.onFault(SendFault::Stalled, {EndpointId("a")}, T0, Budget)));
+  Run.beforeSend(EndpointId("b"));
+  REQUIRE(std::holds_alternative<SendAgain>(
+      Run.onFault(SendFault::SaidNotRun, {EndpointId("b")}, T0, Budget)));
+  Run.beforeSend(EndpointId("c"));
+  CHECK(std::holds_alternative<CutOff>(
+      Run.onFault(SendFault::Stalled, {EndpointId("c")}, T0, Budget)));
+}
+
 TEST_CASE("nothing is sent again when the time is over") {
   ForwardStart Start;
   Start.m_Kind = CallKind::Idempotent;
