An engine's own total of memory counts, at every stage of a chain

Change: fill uses the total that an engine reports; a refusal for want of room marks that engine for a moment; the fullest engine is the one that is asked, more often once the chain fills up; routers that the store rejects ask it less.

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -59,10 +59,7 @@
           Record.m_Layers.m_End - Record.m_Layers.m_First;
       const std::uint32_t Used = Each.m_Layers.m_End - Each.m_Layers.m_First;
       const double Room = kvRoom(Model, Record.m_Accelerator, Held) / Used;
-      if (Room < Fresh.m_RoomTokens) {
-        Fresh.m_RoomTokens = Room;
-        Fresh.m_Tightest = Each.m_Endpoint;
-      }
+      Fresh.m_RoomTokens = std::min(Fresh.m_RoomTokens, Room);
     }
     Fresh.m_Stages = std::move(Stages);
     m_Chains.push_back(std::move(Fresh));
@@ -97,19 +94,38 @@
           : 0;
   for (const StagePlan &Each : Of.m_Stages) {
     const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
-    if (!Known)
+    if (!Known || Now < Known->m_FullUntil)
       return 1;
-    const LayerRange Held = Known->m_Record.m_Layers;
-    const double Room = kvRoom(m_Model, Known->m_Record.m_Accelerator,
-                               Held.m_End - Held.m_First);
-    const double Reported =
-        Known->m_Load ? Known->m_Load->m_KvUsed + Known->m_KvSinceReport : 0;
-    const double Used = std::max(Reported, Known->m_KvInFlight);
-    Most = std::max(Most, Room > 0 ? Used / Room : 1);
+    Most = std::max(Most, memoryTaken(*Known));
   }
   return Most;
 }
 
+// The part of an engine's memory for requests that is taken. Its own total goes
+// before the one that follows from its layers: it may still hold others.
+double ChainRouter::memoryTaken(const FleetEndpoint &Of) const {
+  const LayerRange Held = Of.m_Record.m_Layers;
+  const bool Told = Of.m_Load && Of.m_Load->m_KvTotal > 0;
+  const double Room = Told ? Of.m_Load->m_KvTotal
+                           : kvRoom(m_Model, Of.m_Record.m_Accelerator,
+                                    Held.m_End - Held.m_First);
+  const double Reported =
+      Of.m_Load ? Of.m_Load->m_KvUsed + Of.m_KvSinceReport : 0;
+  return Room > 0 ? std::max(Reported, Of.m_KvInFlight) / Room : 1;
+}
+
+EndpointId ChainRouter::fullest(const Fleet &Engines, const Chain &Of) const {
+  EndpointId Found = Of.m_Stages.front().m_Endpoint;
+  double Most = -1;
+  for (const StagePlan &Each : Of.m_Stages)
+    if (const FleetEndpoint *Known = Engines.find(Each.m_Endpoint))
+      if (const double Taken = memoryTaken(*Known); Taken > Most) {
+        Most = Taken;
+        Found = Each.m_Endpoint;
+      }
+  return Found;
+}
+
 const Chain *ChainRouter::choose(const Fleet &Engines, const RequestSize &Size,
                                  const DataCentreId &Here,
                                  const EndpointSet &Avoid, Instant Now,
--- a/packages/decide/chain_router.h
+++ b/packages/decide/chain_router.h
@@ -14,7 +14,6 @@
   DataCentreId m_DataCentre; // of the first stage
   bool m_Crosses = false;    // some hop leaves the data centre
   double m_RoomTokens = 0;   // tokens that its tightest stage can hold
-  EndpointId m_Tightest;     // the engine of that stage
 };
 
 /// Size of one request, in tokens.
@@ -49,9 +48,14 @@
   /// stage, or of the places of its first one.
   double fill(const Fleet &Engines, const Chain &Of, Instant Now) const;
 
+  /// The engine of \p Of whose memory is taken the most.
+  EndpointId fullest(const Fleet &Engines, const Chain &Of) const;
+
   const std::vector<Chain> &chains() const { return m_Chains; }
 
 private:
+  double memoryTaken(const FleetEndpoint &Of) const;
+
   std::vector<Chain> m_Chains;
   EngineModel m_Model;
 };
--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -27,6 +27,9 @@
   Known.m_Dropped = false;
   if (samePlace(Known.m_Record, Record))
     return;
+  // What it said of its memory is of other layers.
+  if (Known.m_Record.m_Layers != Record.m_Layers)
+    Known.m_Load.reset();
   if (Record.m_Leaving && !Known.m_Record.m_Leaving) {
     Known.m_LeavingSince = Now;
     Known.m_LeavingOver = false;
--- a/packages/decide/order_lease.cpp
+++ b/packages/decide/order_lease.cpp
@@ -14,7 +14,7 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(400);
 
 // Pause after a failed read or write.
-constexpr Duration FailurePause = std::chrono::milliseconds(300);
+constexpr Duration FailurePause = std::chrono::milliseconds(800);
 
 std::uint64_t millis(Duration Time) {
   return static_cast<std::uint64_t>(
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -31,6 +31,10 @@
 constexpr int RoutersOfLoadInterval = 16;
 constexpr Duration LongestLoadInterval = std::chrono::milliseconds(2000);
 
+// The interval for chains that fill up, and the part from which on they do.
+constexpr Duration FillingInterval = std::chrono::milliseconds(400);
+constexpr double FillingPart = 0.6;
+
 // Time after which an engine that does not report counts as silent.
 constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
 
@@ -85,8 +89,8 @@
       askOnce(Id, Now, SuspectInterval);
 }
 
-// Asks the first engine of each chain, which has the places, and the one with
-// the least room, while there is traffic.
+// Asks the first engine of each chain, which has the places, and the fullest
+// one, while there is traffic.
 void EngineWatch::askLoads(Instant Now) {
   const auto &Routes = m_Shared.m_Routes.current();
   if (!Routes || m_Shared.m_Calls->empty())
@@ -100,7 +104,10 @@
     if (!Chains)
       continue;
     for (const decide::Chain &Chain : Chains->chains()) {
-      askOnce(Chain.m_Tightest, Now, Interval);
+      const bool Filling =
+          Chains->fill(m_Shared.m_Fleet, Chain, Now) > FillingPart;
+      const Duration Interval = Filling ? FillingInterval : Relaxed;
+      askOnce(Chains->fullest(m_Shared.m_Fleet, Chain), Now, Interval);
       askOnce(Chain.m_Stages.front().m_Endpoint, Now, Interval);
     }
   }
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -334,6 +334,8 @@
       m_Shared.suspect(Id, "refused with 503 after a stall");
     else
       m_Shared.m_Accused.insert(Id);
+    if (Status == 503)
+      m_Shared.m_Fleet.onFull(Id, ForwardState::now() + FullPause);
   } else {
     // Its own queue is full: this request goes elsewhere, others may fit.
     Lost.insert(m_Target.m_Endpoint);
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -30,8 +30,10 @@
 constexpr Duration RegistryPausePerRouter = std::chrono::milliseconds(15);
 constexpr Duration LongestRegistryPause = std::chrono::milliseconds(1000);
 
-// Pause after a call that failed.
+// Pause after a call that failed, doubled with each further one up to the
+// longest, so that a store that turns routers away is not pressed by them.
 constexpr Duration FailurePause = std::chrono::milliseconds(250);
+constexpr Duration LongestFailurePause = std::chrono::milliseconds(1000);
 
 // Pause between tries to register this router, and between changes of the
 // routers' table.
@@ -120,6 +122,7 @@
   const std::string &Table = From.m_Table;
   bool Whole = true;
   std::uint64_t Version = 0;
+  Duration Failure = FailurePause;
   while (true) {
     bool Failed = false;
     try {
@@ -144,7 +147,9 @@
       noteStore(Table, false, Wrong.what());
       Failed = true;
     }
-    const Duration Next = Failed ? FailurePause : From.m_Pause();
+    const Duration Next = Failed ? Failure : From.m_Pause();
+    Failure =
+        Failed ? std::min(2 * Failure, LongestFailurePause) : FailurePause;
     co_await pause(m_Shared.m_Io, Next);
   }
 }
