--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -95,7 +95,7 @@
   const auto &Routes = m_Shared.m_Routes.current();
   if (!Routes || m_Shared.m_Calls->empty())
     return;
-  const Duration Interval =
+  const Duration Relaxed =
       std::clamp(LoadInterval * static_cast<int>(m_Shared.m_Routers) /
                      RoutersOfLoadInterval,
                  LoadInterval, LongestLoadInterval);
