A chain that lost an engine is lent its layers by another of the data centre

Ruled out: lending between data centres, where prompts would fill the pipe. Change: what is left of a broken chain, if it is half of the layers at least, serves with a few layers of engines of the whole chains.

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -9,10 +9,30 @@
 
 namespace {
 
+// Stages that a path may have.
+constexpr std::size_t MostStages = 32;
+
 // Part of a chain's room that a chain of another data centre must be emptier
 // by, since the caller's bytes then cross between data centres.
 constexpr double CrossingPenalty = 0.05;
 
+// A broken chain with its gap lent by other engines of the data centre; empty
+// when it would be lent more than it brings.
+Path mended(const std::vector<StagePlan> &Broken,
+            const std::vector<StagePlan> &All, std::uint32_t Layers) {
+  if (Broken.empty())
+    return {};
+  Path Stages = fewestLent(Broken, All, Layers);
+  std::uint32_t Own = 0;
+  for (const StagePlan &Each : Stages)
+    for (const StagePlan &One : Broken)
+      if (One.m_Endpoint == Each.m_Endpoint)
+        Own += Each.m_Layers.m_End - Each.m_Layers.m_First;
+  if (2 * Own < Layers || Stages.size() > MostStages)
+    return {};
+  return Stages;
+}
+
 bool touches(const Path &Stages, const EndpointSet &Avoid) {
   return std::any_of(Stages.begin(), Stages.end(), [&](const StagePlan &Each) {
     return Avoid.contains(Each.m_Endpoint);
@@ -64,14 +84,19 @@
     Fresh.m_Stages = std::move(Stages);
     m_Chains.push_back(std::move(Fresh));
   };
+  const auto Whole = ByDataCentre;
   for (auto &[DataCentre, Left] : ByDataCentre) {
     for (Path &Stages : disjointTilings(Left, Model.m_Layers))
       Add(std::move(Stages));
-    // What is left may still make a chain with engines that are leaving.
+    // What is left may still make a chain with engines that are leaving, or
+    // with a few layers of engines of the whole chains.
     const auto &Going = Leaving[DataCentre];
     Left.insert(Left.end(), Going.begin(), Going.end());
     for (Path &Stages : disjointTilings(Left, Model.m_Layers))
       Add(std::move(Stages));
+    if (Path Stages = mended(Left, Whole.at(DataCentre), Model.m_Layers);
+        !Stages.empty())
+      Add(std::move(Stages));
   }
   if (m_Chains.empty())
     if (Path Stages = fewestStages(All, Model.m_Layers); !Stages.empty())
--- a/packages/decide/tiling.cpp
+++ b/packages/decide/tiling.cpp
@@ -5,7 +5,14 @@
 
 namespace mimosadale::decide {
 
-Path fewestStages(const std::vector<StagePlan> &Held, std::uint32_t Layers) {
+namespace {
+
+struct Offer {
+  const StagePlan *m_Held;
+  unsigned m_LayerCost; // of each layer used, beside one for the stage
+};
+
+Path cheapest(const std::vector<Offer> &Offers, std::uint32_t Layers) {
   constexpr unsigned NoPath = std::numeric_limits<unsigned>::max();
   std::vector<unsigned> Stages(Layers + 1, NoPath);
   std::vector<StagePlan> Last(Layers + 1);
@@ -13,13 +20,21 @@
   for (std::uint32_t At = 0; At < Layers; ++At) {
     if (Stages[At] == NoPath)
       continue;
-    for (const StagePlan &Each : Held) {
-      const std::uint32_t End = std::min(Each.m_Layers.m_End, Layers);
-      if (Each.m_Layers.m_First > At || End <= At ||
-          Stages[At] + 1 >= Stages[End])
+    for (const Offer &Each : Offers) {
+      const LayerRange Held = Each.m_Held->m_Layers;
+      const std::uint32_t Most = std::min(Held.m_End, Layers);
+      if (Held.m_First > At || Most <= At)
         continue;
-      Stages[End] = Stages[At] + 1;
-      Last[End] = {Each.m_Endpoint, {At, End}};
+      // What costs by the layer may also be used up to any layer before its
+      // end.
+      const std::uint32_t Least = Each.m_LayerCost > 0 ? At + 1 : Most;
+      for (std::uint32_t End = Least; End <= Most; ++End) {
+        const unsigned Cost = Stages[At] + 1 + Each.m_LayerCost * (End - At);
+        if (Cost >= Stages[End])
+          continue;
+        Stages[End] = Cost;
+        Last[End] = {Each.m_Held->m_Endpoint, {At, End}};
+      }
     }
   }
   Path Found;
@@ -31,6 +46,26 @@
   return Found;
 }
 
+} // namespace
+
+Path fewestStages(const std::vector<StagePlan> &Held, std::uint32_t Layers) {
+  std::vector<Offer> Offers;
+  for (const StagePlan &Each : Held)
+    Offers.push_back({&Each, 0});
+  return cheapest(Offers, Layers);
+}
+
+Path fewestLent(const std::vector<StagePlan> &Own,
+                const std::vector<StagePlan> &Lent, std::uint32_t Layers) {
+  constexpr unsigned LentLayer = 100; // more than a path has stages
+  std::vector<Offer> Offers;
+  for (const StagePlan &Each : Own)
+    Offers.push_back({&Each, 0});
+  for (const StagePlan &Each : Lent)
+    Offers.push_back({&Each, LentLayer});
+  return cheapest(Offers, Layers);
+}
+
 std::vector<Path> disjointTilings(std::vector<StagePlan> &Held,
                                   std::uint32_t Layers) {
   std::vector<Path> Found;
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -303,6 +303,26 @@
   CHECK(fewestStages({{EndpointId("a"), {0, 30}}}, 80).empty());
 }
 
+TEST_CASE("of two chains one loses an engine: the other lends its layers") {
+  Fleet Made;
+  for (std::uint32_t I = 0; I < 4; ++I)
+    Made.put(engine("a" + std::to_string(I), "a100s", {20 * I, 20 * I + 20}),
+             T0);
+  for (std::uint32_t I = 0; I < 8; ++I)
+    Made.put(engine("b" + std::to_string(I), "l4", {10 * I, 10 * I + 10}), T0);
+  Made.suspect(EndpointId("a1"), "test", T0);
+  ChainRouter Router;
+  Router.rebuild(Made, Llm, model());
+  REQUIRE(Router.chains().size() == 2);
+  for (const Chain &Each : Router.chains())
+    CHECK(tilesExactly(Each.m_Stages, 80));
+  // Nothing to mend where a chain has lost most of itself.
+  Made.suspect(EndpointId("a0"), "test", T0);
+  Made.suspect(EndpointId("a3"), "test", T0);
+  Router.rebuild(Made, Llm, model());
+  CHECK(Router.chains().size() == 1);
+}
+
 TEST_CASE("the lease: one holder, a fence that rises, and time from before") {
   OrderLease First(PeerId("first"));
   OrderLease Second(PeerId("second"));
