--- a/packages/decide/retry_budget.cpp
+++ b/packages/decide/retry_budget.cpp
@@ -4,6 +4,14 @@
 
 namespace mimosadale::decide {
 
+namespace {
+
+// Part of the shared budget that the routers use together. The rest is for what
+// a restart forgets and for the edges of windows.
+constexpr double UsedPart = 0.9;
+
+} // namespace
+
 RetryBudget::RetryBudget(double Fraction, double Reserve)
     : m_Fraction(Fraction), m_Reserve(Reserve), m_Left(Reserve) {}
 
@@ -42,7 +50,7 @@
   const double Grown =
       std::min(1.0, seconds(Now - m_Begun) / seconds(m_Bounds.m_Window));
   const double Slack = Grown * m_Bounds.m_Slack / static_cast<double>(Routers);
-  return Again + 1 <= m_Bounds.m_Fraction * First + Slack;
+  return Again + 1 <= UsedPart * (m_Bounds.m_Fraction * First + Slack);
 }
 
 bool WindowedRetryBudget::take(Instant Now, std::size_t Routers) {
