--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -81,8 +81,8 @@
   m_Thread.join();
 }
 
-std::string Estate::store() const {
-  return "127.0.0.1:" + std::to_string(m_Store->port());
+std::string Estate::store(std::size_t Door) const {
+  return "127.0.0.1:" + std::to_string(m_Doors[Door].m_Server->port());
 }
 
 std::unique_ptr<net::HttpServer>
@@ -236,18 +236,18 @@
   return To;
 }
 
-Estate::Task Estate::handleStore(net::HttpExchange &Exchange) {
+Estate::Task Estate::handleStore(Door &At, net::HttpExchange &Exchange) {
   const net::HttpRequest &Request = Exchange.request();
-  if (m_Mode == StoreMode::Silent) {
-    while (m_Mode == StoreMode::Silent)
+  if (At.m_Mode == StoreMode::Silent) {
+    while (At.m_Mode == StoreMode::Silent)
       co_await pause(20ms);
     Exchange.abort();
     co_return;
   }
   net::HttpResponse Answer{503, {}, ""};
-  if (m_Mode == StoreMode::Serves) {
+  if (At.m_Mode == StoreMode::Serves) {
     if (Request.m_Target.starts_with("/v1/rows-feed")) {
-      co_await feed(Exchange);
+      co_await feed(At, Exchange);
       co_return;
     }
     Answer = Request.m_Target.starts_with("/v1/rows-get")
@@ -270,7 +270,7 @@
                           {"NowMs", 1000}});
 }
 
-Estate::Task Estate::feed(net::HttpExchange &Exchange) {
+Estate::Task Estate::feed(Door &At, net::HttpExchange &Exchange) {
   const std::string Target = Exchange.request().m_Target;
   const std::string Table = parameter(Target, "Table");
   const std::uint64_t After = std::stoull(parameter(Target, "After"));
@@ -288,7 +288,7 @@
       Version = m_Version;
     }
     if (!Rows.empty() || std::chrono::steady_clock::now() > End ||
-        m_Mode != StoreMode::Serves)
+        At.m_Mode != StoreMode::Serves)
       break;
     co_await pause(5ms);
   }
