--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -44,8 +44,10 @@
 
 Estate::Estate() {
   const std::lock_guard Lock(m_Mutex);
-  m_Store = serve(
-      [this](net::HttpExchange &Exchange) { return handleStore(Exchange); });
+  for (Door &Each : m_Doors)
+    Each.m_Server = serve([this, &Each](net::HttpExchange &Exchange) {
+      return handleStore(Each, Exchange);
+    });
   m_Routes = {json::object{{"Name", "guide"},
                            {"Host", "127.0.0.1"},
                            {"Prefix", "/guide/"},
