--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -61,19 +61,25 @@
 } // namespace
 
 StoreWatch::StoreWatch(ForwardState &Shared, std::function<void()> OnConfig)
-    : m_Shared(Shared), m_OnConfig(std::move(OnConfig)),
-      m_Config{
-          platform::OperatorTable, true, [] { return ConfigPause; },
-          [this](const platform::Rows &Changes, bool) { takeConfig(Changes); }},
-      m_Registry{platform::RegistryTable, true,
-                 [this] { return registryPause(); },
-                 [this](const platform::Rows &Changes, bool Whole) {
-                   takeRegistry(Changes, Whole);
-                 }},
-      m_RouterRows{platform::RoutersTable, false, [] { return RegisterPause; },
-                   [this](const platform::Rows &Changes, bool Whole) {
-                     takeRouters(Changes, Whole);
-                   }} {}
+    : m_Shared(Shared), m_OnConfig(std::move(OnConfig)) {
+  m_Config.m_Name = platform::OperatorTable;
+  m_Config.m_FromRouters = true;
+  m_Config.m_Pause = [] { return ConfigPause; };
+  m_Config.m_Take = [this](const platform::Rows &Changes, bool) {
+    takeConfig(Changes);
+  };
+  m_Registry.m_Name = platform::RegistryTable;
+  m_Registry.m_FromRouters = true;
+  m_Registry.m_Pause = [this] { return registryPause(); };
+  m_Registry.m_Take = [this](const platform::Rows &Changes, bool Whole) {
+    takeRegistry(Changes, Whole);
+  };
+  m_RouterRows.m_Name = platform::RoutersTable;
+  m_RouterRows.m_Pause = [] { return RegisterPause; };
+  m_RouterRows.m_Take = [this](const platform::Rows &Changes, bool Whole) {
+    takeRouters(Changes, Whole);
+  };
+}
 
 // Without a reader in between, all routers read the registry themselves, the
 // less often the more they are.
@@ -99,12 +105,12 @@
 
 // A row that is there already, from before a restart, will do.
 asio::awaitable<bool> StoreWatch::registerSelf() {
-  const std::string Place =
-      platform::encodeRouter({m_Shared.m_Settings.peers(),
-                              DataCentreId(m_Shared.m_Settings.data_centre())});
+  platform::RouterPlace Self;
+  Self.m_Peers = m_Shared.m_Settings.peers();
+  Self.m_DataCentre = DataCentreId(m_Shared.m_Settings.data_centre());
+  const std::string Place = platform::encodeRouter(Self);
   const platform::WriteResult Result = co_await m_Shared.m_Store.write(
-      platform::RoutersTable, m_Shared.m_Settings.name(),
-      m_Shared.m_Settings.peers(), 0);
+      platform::RoutersTable, m_Shared.m_Settings.name(), Place, 0);
   co_return Result.m_Kind == platform::WriteResult::Kind::Done ||
       Result.m_Kind == platform::WriteResult::Kind::Conflict;
 }
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -49,9 +49,9 @@
     bool m_FromRouters = false;        // may be read from another router
     std::function<Duration()> m_Pause; // between calls
     Apply m_Take;
-    decide::RowCache m_Cache{};
-    decide::RowSourceChooser m_Source{};
-    std::set<boost::asio::steady_timer *> m_Waiting{}; // for a change
+    decide::RowCache m_Cache;
+    decide::RowSourceChooser m_Source;
+    std::set<boost::asio::steady_timer *> m_Waiting; // for a change
   };
 
   Duration registryPause() const;
