--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -98,21 +98,30 @@
 }
 
 asio::awaitable<void> StoreWatch::followRouters() {
-  while (!co_await registerSelf())
-    co_await pause(m_Shared.m_Io, RegisterPause);
+  const std::string Row = ownRow();
+  bool Registered = false;
+  while (!Registered) {
+    Registered = co_await registerSelf(Row);
+    if (!Registered)
+      co_await pause(m_Shared.m_Io, RegisterPause);
+  }
   co_await follow(m_RouterRows);
 }
 
-// A row that is there already, from before a restart, will do.
-asio::awaitable<bool> StoreWatch::registerSelf() {
+std::string StoreWatch::ownRow() const {
   platform::RouterPlace Self;
   Self.m_Peers = m_Shared.m_Settings.peers();
   Self.m_DataCentre = DataCentreId(m_Shared.m_Settings.data_centre());
-  const std::string Place = platform::encodeRouter(Self);
+  return platform::encodeRouter(Self);
+}
+
+// A row that is there already, from before a restart, will do.
+asio::awaitable<bool> StoreWatch::registerSelf(std::string Value) {
   const platform::WriteResult Result = co_await m_Shared.m_Store.write(
-      platform::RoutersTable, m_Shared.m_Settings.name(), Place, 0);
-  co_return Result.m_Kind == platform::WriteResult::Kind::Done ||
-      Result.m_Kind == platform::WriteResult::Kind::Conflict;
+      platform::RoutersTable, m_Shared.m_Settings.name(), std::move(Value), 0);
+  const auto Kind = Result.m_Kind;
+  co_return Kind == platform::WriteResult::Kind::Done ||
+      Kind == platform::WriteResult::Kind::Conflict;
 }
 
 // Routers that are gone keep their rows: the parts of those that are there only
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -58,7 +58,8 @@
   boost::asio::awaitable<void> follow(Table &Of);
   boost::asio::awaitable<platform::Rows> readOnce(Table &Of, bool Whole,
                                                   decide::RowSource From);
-  boost::asio::awaitable<bool> registerSelf();
+  std::string ownRow() const;
+  boost::asio::awaitable<bool> registerSelf(std::string Value);
   std::optional<net::Address> peerFor(bool StoreFails);
   void wakeWaiting(Table &Of);
   void takeConfig(const platform::Rows &Changes);
