--- a/packages/decide/tiling.cpp
+++ b/packages/decide/tiling.cpp
@@ -50,6 +50,7 @@
 
 Path fewestStages(const std::vector<StagePlan> &Held, std::uint32_t Layers) {
   std::vector<Offer> Offers;
+  Offers.reserve(Held.size());
   for (const StagePlan &Each : Held)
     Offers.push_back({&Each, 0});
   return cheapest(Offers, Layers);
@@ -59,6 +60,7 @@
                 const std::vector<StagePlan> &Lent, std::uint32_t Layers) {
   constexpr unsigned LentLayer = 100; // more than a path has stages
   std::vector<Offer> Offers;
+  Offers.reserve(Own.size() + Lent.size());
   for (const StagePlan &Each : Own)
     Offers.push_back({&Each, 0});
   for (const StagePlan &Each : Lent)
