--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -84,7 +84,7 @@
     std::unique_ptr<net::HttpServer> m_Server;
     decide::LayerRange m_Layers;
     bool m_Leaving = false;
-    bool m_Silent = false;
+    std::atomic<bool> m_Silent = false; // read without the mutex
     int m_LostAnswers = 0;
     std::uint64_t m_Fence = 0;
     std::uint64_t m_Orders = 0;
