Stand-in tests: ports below those of outgoing connections

The test counted its ports from 20000 + process id, up to 40000; from 32768 on the kernel gives the same ports to outgoing connections, and a bind to one that is in use or in TIME_WAIT fails (EADDRINUSE, seen with a few lines of Python). Ruled out: slowness (the other five cases took their usual time, 25 s in all). Change: the harness's own way for addresses (a loopback IP a test process, ports from 20000) serves both; a router that is not ready now shows its log.

--- a/tests/harness/harness.cpp
+++ b/tests/harness/harness.cpp
@@ -191,6 +191,17 @@
   }
 }
 
+std::string ownIp() {
+  const auto Id = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(1 + Id / 65536 % 250) + "." +
+         std::to_string(Id / 256 % 256) + "." + std::to_string(1 + Id % 254);
+}
+
+std::string freeAddress() {
+  static unsigned Port = 20000; // below the ports of outgoing connections
+  return ownIp() + ":" + std::to_string(++Port);
+}
+
 bool eventually(const std::function<bool()> &Condition,
                 std::chrono::milliseconds Bound) {
   const auto End = std::chrono::steady_clock::now() + Bound;
@@ -257,16 +268,7 @@
   return std::string(Where ? Where : "build/packages") + "/" + Name;
 }
 
-// An address that nothing uses: each test process has an own loopback IP from
-// its id, so that tests that run side by side never meet; ports are counted.
-std::string Fleet::freeAddress() {
-  static unsigned Port = 20000;
-  const auto Id = static_cast<unsigned>(::getpid());
-  const std::string Ip = "127." + std::to_string(1 + Id / 65536 % 250) + "." +
-                         std::to_string(Id / 256 % 256) + "." +
-                         std::to_string(1 + Id % 254);
-  return Ip + ":" + std::to_string(++Port);
-}
+std::string Fleet::freeAddress() { return harness::freeAddress(); }
 
 Process &Fleet::launch(const std::string &Name,
                        const std::vector<std::string> &Command) {
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -85,6 +85,14 @@
 /// Reads a stream to its end.
 StreamResult readStream(EventStream &From);
 
+/// The loopback IP of this test process, made from its process id, so that
+/// tests that run side by side never meet.
+std::string ownIp();
+
+/// An address of `ownIp()` that nothing uses. Ports are counted. \pre Called
+/// from one thread.
+std::string freeAddress();
+
 /// Waits until a condition holds. \returns whether it did within the bound.
 bool eventually(const std::function<bool()> &Condition,
                 std::chrono::milliseconds Bound = std::chrono::seconds(20));
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -1,5 +1,6 @@
 #include "platform/estate.h"
 
+#include "harness/harness.h"
 #include "platform/names.h"
 #include "store/digest.h"
 
@@ -47,7 +48,7 @@
   m_Store = serve(
       [this](net::HttpExchange &Exchange) { return handleStore(Exchange); });
   m_Routes = {json::object{{"Name", "guide"},
-                           {"Host", "127.0.0.1"},
+                           {"Host", harness::ownIp()},
                            {"Prefix", "/guide/"},
                            {"RouteType", "streaming"},
                            {"TimeoutMs", 20000},
@@ -57,14 +58,14 @@
                            {"StreamResume", true},
                            {"GapTargetMs", 200}},
               json::object{{"Name", "book"},
-                           {"Host", "127.0.0.1"},
+                           {"Host", harness::ownIp()},
                            {"Prefix", "/book/"},
                            {"RouteType", "non_idempotent"},
                            {"TimeoutMs", 2000},
                            {"Service", "booking"},
                            {"MaxAttempts", 1}},
               json::object{{"Name", "look"},
-                           {"Host", "127.0.0.1"},
+                           {"Host", harness::ownIp()},
                            {"Prefix", "/look/"},
                            {"RouteType", "idempotent"},
                            {"TimeoutMs", 2000},
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -60,15 +60,10 @@
   }
 
 private:
-  static std::string freeAddress() {
-    static int Next = 20000 + getpid() % 20000;
-    return "127.0.0.1:" + std::to_string(Next++);
-  }
-
   std::filesystem::path m_Directory;
-  std::string m_Callers = freeAddress();
-  std::string m_Readiness = freeAddress();
-  std::string m_Metrics = freeAddress();
+  std::string m_Callers = harness::freeAddress();
+  std::string m_Readiness = harness::freeAddress();
+  std::string m_Metrics = harness::freeAddress();
   std::unique_ptr<harness::Process> m_Process;
 };
 
@@ -96,7 +91,10 @@
 }
 
 void waitServing(Router &At) {
-  REQUIRE(harness::eventually([&] { return At.readiness() == 200; }));
+  const bool Ready =
+      harness::eventually([&] { return At.readiness() == 200; });
+  CAPTURE(At.log());
+  REQUIRE(Ready);
   REQUIRE(harness::eventually([&] { return chainsServe(At); }));
 }
 
