Running streams go on without a lost engine by an order to its first engine; trial

Half of the streams cut off had one send only: at the same tick many streams saw one retry left, all ended their send, one got the retry.

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -126,14 +126,15 @@
   return Most;
 }
 
-// The part of an engine's memory for requests that is taken. Its own total goes
-// before the one that follows from its layers: it may still hold others.
-double ChainRouter::memoryTaken(const FleetEndpoint &Of) const {
+double ChainRouter::memoryRoom(const FleetEndpoint &Of) const {
+  if (Of.m_Load && Of.m_Load->m_KvTotal > 0)
+    return Of.m_Load->m_KvTotal;
   const LayerRange Held = Of.m_Record.m_Layers;
-  const bool Told = Of.m_Load && Of.m_Load->m_KvTotal > 0;
-  const double Room = Told ? Of.m_Load->m_KvTotal
-                           : kvRoom(m_Model, Of.m_Record.m_Accelerator,
-                                    Held.m_End - Held.m_First);
+  return kvRoom(m_Model, Of.m_Record.m_Accelerator, Held.m_End - Held.m_First);
+}
+
+double ChainRouter::memoryTaken(const FleetEndpoint &Of) const {
+  const double Room = memoryRoom(Of);
   const double Reported =
       Of.m_Load ? Of.m_Load->m_KvUsed + Of.m_KvSinceReport : 0;
   return Room > 0 ? std::max(Reported, Of.m_KvInFlight) / Room : 1;
--- a/packages/decide/chain_router.h
+++ b/packages/decide/chain_router.h
@@ -51,11 +51,15 @@
   /// The engine of \p Of whose memory is taken the most.
   EndpointId fullest(const Fleet &Engines, const Chain &Of) const;
 
+  /// What an engine can hold for requests beside its layers, in tokens times
+  /// layers, and the part of it that is taken. Its own word goes before the
+  /// model, since it may still hold layers that it is giving up.
+  double memoryRoom(const FleetEndpoint &Of) const;
+  double memoryTaken(const FleetEndpoint &Of) const;
+
   const std::vector<Chain> &chains() const { return m_Chains; }
 
 private:
-  double memoryTaken(const FleetEndpoint &Of) const;
-
   std::vector<Chain> m_Chains;
   EngineModel m_Model;
 };
--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -10,6 +10,9 @@
 // half of the shortest time in which it must get nothing more.
 constexpr Duration LeavingUse = std::chrono::milliseconds(1000);
 
+// Times the time of its kind from which on an engine counts as slow.
+constexpr double SlowFrom = 3;
+
 bool samePlace(const EndpointRecord &A, const EndpointRecord &B) {
   return A.m_Service == B.m_Service && A.m_Address == B.m_Address &&
          A.m_Leaving == B.m_Leaving && A.m_Layers == B.m_Layers &&
@@ -18,6 +21,10 @@
 
 } // namespace
 
+bool FleetEndpoint::slow() const {
+  return m_Load && m_Load->m_Slowdown >= SlowFrom;
+}
+
 void Fleet::put(const EndpointRecord &Record, Instant Now) {
   FleetEndpoint &Known = m_All[Record.m_Id];
   const bool Restarted = Known.m_Record.m_StartedMs != 0 &&
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -54,6 +54,9 @@
   bool m_Dropped = false;     // by the registry
   bool m_LeavingOver = false; // it has been leaving for too long to be used
 
+  /// Whether its own word is that it runs much slower than its kind.
+  bool slow() const;
+
   /// Whether layers may be planned on it.
   bool usable() const { return !m_Suspect && !m_Record.m_Leaving; }
 
--- /dev/null
+++ b/packages/decide/path_repair.cpp
@@ -0,0 +1,111 @@
+#include "decide/path_repair.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace mimosadale::decide {
+
+namespace {
+
+// Stages that a path may have.
+constexpr std::size_t MostStages = 32;
+
+// Costs beside one for each stage: of an engine whose memory is all taken, and
+// of a hop that leaves the path's data centre.
+constexpr double TakenCost = 4;
+constexpr double CrossingCost = 2;
+
+struct Offer {
+  EndpointId m_Engine;
+  LayerRange m_Held;
+  double m_FreeTokens; // times layers
+  double m_Cost;       // of one stage
+};
+
+std::vector<Offer> offersFor(const Fleet &Engines, const ChainRouter &Chains,
+                             const Path &Broken,
+                             const EndpointSet &Unfit) {
+  const FleetEndpoint *First = Engines.find(Broken.front().m_Endpoint);
+  std::vector<Offer> Offers;
+  for (const auto &[Id, Known] : Engines.all()) {
+    const EndpointRecord &Record = Known.m_Record;
+    const bool OnPath = std::any_of(
+        Broken.begin(), Broken.end(),
+        [&](const StagePlan &Each) { return Each.m_Endpoint == Id; });
+    if (OnPath || Unfit.contains(Id) || !Known.usable() || Known.slow() ||
+        Record.m_Service != First->m_Record.m_Service ||
+        Record.m_Layers.m_First >= Record.m_Layers.m_End)
+      continue;
+    const double Taken = Chains.memoryTaken(Known);
+    if (Taken >= 1)
+      continue;
+    const bool Crosses = Record.m_DataCentre != First->m_Record.m_DataCentre;
+    Offers.push_back({Id, Record.m_Layers,
+                      (1 - Taken) * Chains.memoryRoom(Known),
+                      1 + TakenCost * Taken + (Crosses ? CrossingCost : 0)});
+  }
+  return Offers;
+}
+
+// The cheapest cover of \p Gap; empty when there is none. An engine that could
+// go on is always cheaper than one in between, so that none comes twice.
+Path cover(LayerRange Gap, const std::vector<Offer> &Offers, double Tokens) {
+  constexpr double NoPath = std::numeric_limits<double>::max();
+  const std::uint32_t Length = Gap.m_End - Gap.m_First;
+  std::vector<double> Cost(Length + 1, NoPath);
+  std::vector<StagePlan> Last(Length + 1);
+  Cost[0] = 0;
+  for (std::uint32_t From = Gap.m_First; From < Gap.m_End; ++From) {
+    if (Cost[From - Gap.m_First] == NoPath)
+      continue;
+    for (const Offer &Each : Offers) {
+      if (Each.m_Held.m_First > From || Each.m_Held.m_End <= From)
+        continue;
+      const std::uint32_t End = std::min(Each.m_Held.m_End, Gap.m_End);
+      const double Sum = Cost[From - Gap.m_First] + Each.m_Cost;
+      if (Each.m_FreeTokens < Tokens * (End - From) ||
+          Sum >= Cost[End - Gap.m_First])
+        continue;
+      Cost[End - Gap.m_First] = Sum;
+      Last[End - Gap.m_First] = {Each.m_Engine, {From, End}};
+    }
+  }
+  Path Found;
+  if (Cost[Length] == NoPath)
+    return Found;
+  for (std::uint32_t At = Gap.m_End; At > Gap.m_First;
+       At = Found.back().m_Layers.m_First)
+    Found.push_back(Last[At - Gap.m_First]);
+  std::reverse(Found.begin(), Found.end());
+  return Found;
+}
+
+} // namespace
+
+Path repairPath(const Fleet &Engines, const ChainRouter &Chains,
+                const Path &Broken, const EndpointSet &Lost,
+                const EndpointSet &Unfit, double Tokens) {
+  if (Broken.empty() || Lost.contains(Broken.front().m_Endpoint) ||
+      !Engines.find(Broken.front().m_Endpoint))
+    return {};
+  std::vector<Offer> Offers = offersFor(Engines, Chains, Broken, Unfit);
+  Path Whole;
+  for (const StagePlan &Each : Broken) {
+    if (!Lost.contains(Each.m_Endpoint)) {
+      Whole.push_back(Each);
+      continue;
+    }
+    const Path Instead = cover(Each.m_Layers, Offers, Tokens);
+    if (Instead.empty())
+      return {};
+    for (const StagePlan &One : Instead) {
+      Whole.push_back(One);
+      std::erase_if(Offers, [&](const Offer &Used) {
+        return Used.m_Engine == One.m_Endpoint;
+      });
+    }
+  }
+  return Whole.size() <= MostStages ? Whole : Path();
+}
+
+} // namespace mimosadale::decide
--- /dev/null
+++ b/packages/decide/path_repair.h
@@ -0,0 +1,21 @@
+// Other engines for the parts of a path whose engines are lost.
+#ifndef MIMOSADALE_DECIDE_PATH_REPAIR_H
+#define MIMOSADALE_DECIDE_PATH_REPAIR_H
+
+#include "decide/chain_router.h"
+
+namespace mimosadale::decide {
+
+/// \p Broken with the layers of its stages at \p Lost run by usable engines of
+/// the same service that are not on the path yet, are not among \p Unfit and
+/// have room for \p Tokens.
+/// Prefers few stages, the emptier engines, and the data centre of the path.
+/// \returns an empty path when the first stage is lost, which holds the
+/// request, or when some layers have no engine. Safe from any thread.
+Path repairPath(const Fleet &Engines, const ChainRouter &Chains,
+                const Path &Broken, const EndpointSet &Lost,
+                const EndpointSet &Unfit, double Tokens);
+
+} // namespace mimosadale::decide
+
+#endif
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -20,9 +20,11 @@
 // Interval of the checks of all calls: well below the pauses that they notice.
 constexpr Duration TickPause = std::chrono::milliseconds(25);
 
-// Intervals between reports of one engine: while requests wait for it, while
-// it is distrusted, and for its load.
+// Intervals between reports of one engine: while requests wait for it as their
+// first one and as another of their path, while it is distrusted, and for its
+// load.
 constexpr Duration OverdueInterval = std::chrono::milliseconds(150);
+constexpr Duration OverduePathInterval = std::chrono::milliseconds(500);
 constexpr Duration SuspectInterval = std::chrono::milliseconds(500);
 constexpr Duration LoadInterval = std::chrono::milliseconds(800);
 
@@ -71,8 +73,12 @@
 
 void EngineWatch::askOverdue(Instant Now) {
   for (const ForwardCall *Each : *m_Shared.m_Calls)
-    if (const EndpointId First = Each->overdueAt(Now); !First.empty())
-      askOnce(First, Now, OverdueInterval);
+    if (const decide::Path *Overdue = Each->overduePath())
+      for (const decide::StagePlan &Stage : *Overdue)
+        askOnce(Stage.m_Endpoint, Now,
+                Stage.m_Endpoint == Overdue->front().m_Endpoint
+                    ? OverdueInterval
+                    : OverduePathInterval);
 }
 
 // Engines because of which a request was refused: their own report tells
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -1,10 +1,15 @@
 #include "forward/forward_call.h"
 
+#include "decide/path_repair.h"
+#include "forward/engine_client.h"
+#include "platform/endpoint_codec.h"
 #include "platform/names.h"
 #include "router/log.h"
 #include "router/replies.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <cmath>
 
 namespace mimosadale::forward {
@@ -29,10 +34,6 @@
 constexpr Duration MostIdle = std::chrono::seconds(8);
 constexpr Duration MostIdleOnce = std::chrono::milliseconds(300);
 
-// Pause in a stream, and wait for a first event beyond the route's target,
-// after which the engines are asked what it waits for.
-constexpr Duration OverduePause = std::chrono::milliseconds(250);
-
 // Pause after a refusal for want of a place: about the time in which one of a
 // few hundred requests ends.
 constexpr Duration FullPause = std::chrono::milliseconds(60);
@@ -41,9 +42,9 @@
 // answer at once when they are full.
 constexpr Duration RefusalOfLost = std::chrono::milliseconds(900);
 
-// Pause after which a path is given up even if no engine is known to be lost:
-// before callers leave, which they do after two seconds.
-constexpr Duration LongestPause = std::chrono::milliseconds(1300);
+// Orders to change the path of one send, and the time that one may take.
+constexpr unsigned MostRepairs = 3;
+constexpr Duration RepairTimeout = std::chrono::milliseconds(400);
 
 // Whole answers longer than this are not taken in one piece.
 constexpr std::size_t MostAnswerBytes = 16u << 20;
@@ -253,6 +254,10 @@
 // Counts the request in (1) or out (-1) at every engine of its path.
 void ForwardCall::charge(const Target &To, int Sign) {
   m_Shared.m_Fleet.countFirstStage(To.m_Endpoint, Sign);
+  chargeMemory(To, Sign);
+}
+
+void ForwardCall::chargeMemory(const Target &To, int Sign) {
   const double Tokens = m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0;
   for (const decide::StagePlan &Each : To.m_Path)
     m_Shared.m_Fleet.countMemory(
@@ -264,6 +269,8 @@
   m_Target = To;
   m_Ended = Ended::No;
   m_EventSeen = false;
+  m_Repairing = false;
+  m_Repairs = 0;
   m_Events.dropPartial();
   m_SentAt = m_LastProgress = ForwardState::now();
   m_Waiting = true;
@@ -316,7 +323,8 @@
 
 ForwardStep ForwardCall::fault(SendFault How, const decide::EndpointSet &Lost) {
   return m_Run->onFault(How, Lost, ForwardState::now(), [this] {
-    return m_Shared.budgetOf(m_Service).take(ForwardState::now(),
+    return std::exchange(m_RetryTaken, false) ||
+           m_Shared.budgetOf(m_Service).take(ForwardState::now(),
                                              m_Shared.m_Routers);
   });
 }
@@ -426,6 +434,9 @@
     std::string Whole = m_Events.takeWhole();
     if (Whole.empty())
       continue;
+    if (m_FirstEvent)
+      m_LongestPause = std::max(m_LongestPause, m_LastProgress - m_LastEvent);
+    m_LastEvent = m_LastProgress;
     if (!m_FirstEvent) {
       m_FirstEvent = m_LastProgress;
       m_Shared.m_Metrics.timed(router::Timing::FirstToken,
@@ -474,52 +485,148 @@
 }
 
 void ForwardCall::onTick(Instant Now) {
+  m_Overdue = false;
   if (!m_Run || !m_Waiting)
     return;
-  const bool Unconnected =
-      m_Connecting && Now - m_LastProgress > ConnectTimeout;
-  if (Now >= m_Run->end())
+  if (Now >= m_Run->end()) {
     end(Ended::Timeout);
-  else if (Unconnected || (standsStill(Now) && canGoElsewhere(Now)))
-    end(Ended::EngineLost);
+  } else if (m_Connecting) {
+    if (Now - m_LastProgress > ConnectTimeout)
+      end(Ended::EngineLost);
+  } else if (!m_Target.m_Path.empty()) {
+    const decide::PauseStep Step = decide::stepFor(pauseFacts(Now));
+    m_Overdue = Step != decide::PauseStep::Wait;
+    if (Step == decide::PauseStep::Repair)
+      repair();
+    else if (Step == decide::PauseStep::Move && goElsewhere(Now))
+      end(Ended::EngineLost);
+  }
 }
 
-// Whether the request waits for an engine that is lost, or for too long.
-bool ForwardCall::standsStill(Instant Now) const {
-  return !m_Connecting && m_Route->m_Resumable && !m_Target.m_Path.empty() &&
-         ((!overdueAt(Now).empty() && pathLost()) ||
-          Now - m_LastProgress > LongestPause);
+decide::PauseFacts ForwardCall::pauseFacts(Instant Now) const {
+  decide::PauseFacts Facts;
+  Facts.m_Pause = Now - m_LastProgress;
+  Facts.m_EventSeen = m_EventSeen;
+  Facts.m_FirstWithin = m_Route->m_TargetLatency;
+  for (const decide::StagePlan &Each : m_Target.m_Path) {
+    const auto *Known = m_Shared.m_Fleet.find(Each.m_Endpoint);
+    const bool Lost = !Known || Known->m_Suspect;
+    if (Each.m_Endpoint == m_Target.m_Endpoint)
+      Facts.m_FirstLost = Lost;
+    else if (Lost)
+      Facts.m_PathLost = true;
+    else if (Known->m_LeavingOver)
+      Facts.m_PathLeaves = true;
+  }
+  Facts.m_Repairing = m_Repairing;
+  Facts.m_MayRepair = m_Repairs < MostRepairs;
+  Facts.m_MayMove = m_Route->m_Resumable && m_Run->maySwitch(Now);
+  return Facts;
 }
 
-// Whether another chain has room for the request, and a retry is left for it.
-bool ForwardCall::canGoElsewhere(Instant Now) {
-  if (!m_Run->maySwitch(Now) ||
-      !m_Shared.budgetOf(m_Service).allows(Now, m_Shared.m_Routers))
+// The engines of the present path that it must do without.
+decide::EndpointSet ForwardCall::lostOnPath() const {
+  decide::EndpointSet Lost;
+  for (const decide::StagePlan &Each : m_Target.m_Path) {
+    const auto *Known = m_Shared.m_Fleet.find(Each.m_Endpoint);
+    if (!Known || Known->m_Suspect || Known->m_LeavingOver)
+      Lost.insert(Each.m_Endpoint);
+  }
+  return Lost;
+}
+
+// Takes a retry for this request if another chain has room for it. Taken at
+// once, since others that stand still at this moment want it too.
+bool ForwardCall::goElsewhere(Instant Now) {
+  if (m_Ended != Ended::No)
     return false;
   decide::EndpointSet Avoid = m_Run->avoided();
   Avoid.insert(m_Target.m_Endpoint);
-  return m_Shared.chainsOf(m_Service)->choose(
-             m_Shared.m_Fleet, m_Facts.m_Size.value_or(decide::RequestSize{}),
-             DataCentreId(m_Shared.m_Settings.data_centre()), Avoid, Now,
-             m_Shared.m_Random) != nullptr;
+  const decide::Chain *Other = m_Shared.chainsOf(m_Service)->choose(
+      m_Shared.m_Fleet, m_Facts.m_Size.value_or(decide::RequestSize{}),
+      DataCentreId(m_Shared.m_Settings.data_centre()), Avoid, Now,
+      m_Shared.m_Random);
+  m_RetryTaken =
+      Other && m_Shared.budgetOf(m_Service).take(Now, m_Shared.m_Routers);
+  return m_RetryTaken;
+}
+
+// Orders the engines to go on with the request without those that are lost.
+void ForwardCall::repair() {
+  const decide::EndpointSet Lost = lostOnPath();
+  const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
+  if (Lost.empty() || !Chains)
+    return;
+  decide::Path Fresh =
+      decide::repairPath(m_Shared.m_Fleet, *Chains, m_Target.m_Path, Lost,
+                         m_Unfit, m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0);
+  ++m_Repairs;
+  if (Fresh.empty()) {
+    router::logEvent(schema::INFO, "path_not_repaired",
+                     {{"request", m_Facts.m_Id.str()},
+                      {"first", m_Target.m_Endpoint.str()},
+                      {"lost", std::to_string(Lost.size())},
+                      {"reason", "no engines with room hold the layers"}});
+    return;
+  }
+  m_Repairing = true;
+  asio::co_spawn(m_Shared.m_Io, orderPath(std::move(Fresh)), asio::detached);
 }
 
-// Whether an engine of the present path is gone or distrusted.
-bool ForwardCall::pathLost() const {
-  return std::any_of(m_Target.m_Path.begin(), m_Target.m_Path.end(),
-                     [&](const decide::StagePlan &Each) {
-                       const auto *Known =
-                           m_Shared.m_Fleet.find(Each.m_Endpoint);
-                       return !Known || Known->m_Suspect;
-                     });
+// The request may end while the order is under way; it is then no longer among
+// the calls.
+asio::awaitable<void> ForwardCall::orderPath(decide::Path Fresh) {
+  const std::shared_ptr<std::set<ForwardCall *>> Calls = m_Calls;
+  ForwardState &Shared = m_Shared;
+  const EndpointId First = m_Target.m_Endpoint;
+  const RequestId Id = m_Facts.m_Id;
+  const unsigned Sends = m_Run->sends();
+  net::HttpRequest Order;
+  Order.m_Method = "POST";
+  Order.m_Target = platform::OrderPath;
+  Order.m_Headers = {{"Content-Type", "application/json"}};
+  Order.m_Body = platform::encodeRepathOrder(
+      Id.str(), platform::encodePath(Shared.m_Fleet, Fresh));
+  unsigned Status = 0;
+  std::string Detail;
+  std::string FaultAddress;
+  try {
+    const net::HttpResponse Answer =
+        co_await callEngine(Shared, First, Order, RepairTimeout);
+    Status = Answer.m_Status;
+    FaultAddress = platform::decodeOrderFault(Answer.m_Body);
+  } catch (const Error &Wrong) {
+    Detail = Wrong.what();
+  }
+  Shared.m_Metrics.counted("repair_ordered");
+  router::logEvent(schema::INFO, "path_ordered",
+                   {{"request", Id.str()},
+                    {"first", First.str()},
+                    {"stages", std::to_string(Fresh.size())},
+                    {"status", std::to_string(Status)},
+                    {"fault_at", FaultAddress},
+                    {"detail", Detail}});
+  if (Calls->contains(this) && m_Facts.m_Id == Id && m_Run->sends() == Sends)
+    onPathOrdered(Fresh, Status, FaultAddress);
+}
+
+void ForwardCall::onPathOrdered(const decide::Path &Fresh, unsigned Status,
+                                const std::string &FaultAddress) {
+  m_Repairing = false;
+  if (Status / 100 == 2 && m_Waiting) {
+    chargeMemory(m_Target, -1);
+    m_Target.m_Path = Fresh;
+    chargeMemory(m_Target, 1);
+    return;
+  }
+  if (const auto *At = m_Shared.m_Fleet.findByAddress(FaultAddress))
+    m_Unfit.insert(At->m_Record.m_Id);
+  if (Status == 404) // it does not run there any more
+    m_Repairs = MostRepairs;
 }
 
-EndpointId ForwardCall::overdueAt(Instant Now) const {
-  if (!m_Waiting || m_Target.m_Path.empty())
-    return EndpointId();
-  const Duration Allowed =
-      m_EventSeen ? OverduePause : OverduePause + m_Route->m_TargetLatency;
-  return Now - m_LastProgress > Allowed ? m_Target.m_Endpoint : EndpointId();
+const decide::Path *ForwardCall::overduePath() const {
+  return m_Overdue ? &m_Target.m_Path : nullptr;
 }
 
 void ForwardCall::logOutcome(const std::string &Outcome, unsigned Status) {
@@ -541,6 +648,7 @@
   if (m_FirstEvent) {
     Fields.push_back({"first_event_ms", millisText(*m_FirstEvent - m_Arrived)});
     Fields.push_back({"events", std::to_string(m_EventCount)});
+    Fields.push_back({"longest_pause_ms", millisText(m_LongestPause)});
   }
   router::logEvent(schema::INFO, "request_ended", Fields);
 }
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -3,6 +3,7 @@
 #define MIMOSADALE_FORWARD_FORWARD_CALL_H
 
 #include "decide/forward_run.h"
+#include "decide/pause_policy.h"
 #include "forward/event_splitter.h"
 #include "forward/forward_state.h"
 #include "net/server.h"
@@ -31,9 +32,9 @@
   /// Ends what has run out of time. \pre Called a few times a second.
   void onTick(Instant Now);
 
-  /// The first engine of the present path if the request waits for it longer
-  /// than it should; empty otherwise.
-  EndpointId overdueAt(Instant Now) const;
+  /// The engines of the present path if the request waits for them longer than
+  /// it should; null otherwise.
+  const decide::Path *overduePath() const;
 
   const RequestId &request() const { return m_Facts.m_Id; }
 
@@ -69,12 +70,17 @@
   decide::ForwardStep faultAt(const std::string &Address, unsigned Status);
   decide::ForwardStep ended();
   boost::asio::awaitable<void> toCaller(boost::asio::awaitable<void> Write);
-  bool pathLost() const;
-  bool standsStill(Instant Now) const;
-  bool canGoElsewhere(Instant Now);
+  decide::PauseFacts pauseFacts(Instant Now) const;
+  decide::EndpointSet lostOnPath() const;
+  bool goElsewhere(Instant Now);
+  void repair();
+  boost::asio::awaitable<void> orderPath(decide::Path Fresh);
+  void onPathOrdered(const decide::Path &Fresh, unsigned Status,
+                     const std::string &FaultAddress);
   boost::asio::awaitable<void> refuse(decide::Refusal Why);
   net::HttpRequest encode(const Target &To) const;
   void charge(const Target &To, int Sign);
+  void chargeMemory(const Target &To, int Sign);
   void end(Ended Why);
   void logOutcome(const std::string &Outcome, unsigned Status);
 
@@ -98,10 +104,17 @@
   Instant m_SentAt{};
   Instant m_LastProgress{};
   bool m_EventSeen = false; // of the present send
+  bool m_Overdue = false;   // the engines of its path are to be asked
+  bool m_RetryTaken = false; // from the budget, before the present send ended
+  bool m_Repairing = false; // an order to change its path is under way
+  unsigned m_Repairs = 0;   // such orders for the present send
+  decide::EndpointSet m_Unfit; // engines that could not take a part of it
   EventSplitter m_Events;
   std::optional<net::HttpResponse> m_Failure; // the endpoint's own, whole
   std::optional<Instant> m_FirstEvent;
   unsigned m_EventCount = 0;
+  Duration m_LongestPause{}; // between two events
+  Instant m_LastEvent{};
 };
 
 } // namespace mimosadale::forward
