--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -43,7 +43,7 @@
 constexpr Duration RefusalOfLost = std::chrono::milliseconds(900);
 
 // Orders to change the path of one send, and the time that one may take.
-constexpr unsigned MostRepairs = 3;
+constexpr unsigned MostRepairs = 1;
 constexpr Duration RepairTimeout = std::chrono::milliseconds(400);
 
 // Whole answers longer than this are not taken in one piece.
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -217,6 +217,7 @@
       router::logEvent(schema::INFO, "endpoint_seen",
                        {{"endpoint", Each.m_Id.str()},
                         {"address", Each.m_Address},
+                        {"accelerator", Each.m_Accelerator},
                         {"leaving", Each.m_Leaving ? "yes" : "no"},
                         {"layers", std::to_string(Each.m_Layers.m_First) + "-" +
                                        std::to_string(Each.m_Layers.m_End)}});
