--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -3,7 +3,6 @@
 #include "decide/tiling.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace mimosadale::decide {
@@ -13,19 +12,6 @@
 // Stages that a path may have.
 constexpr std::size_t MostStages = 32;
 
-// The cost of a stage, and of one at an engine that is slow or leaves.
-constexpr double StageCost = 1;
-constexpr double ShunnedCost = 6;
-
-// The cost of a layer at an empty engine with room for one token times one
-// layer, and how it grows with the part of its memory that is taken.
-constexpr double LayerCost = 1e4;
-constexpr double TakenWeight = 5;
-
-// Spread of the costs, so that routers with the same reports choose different
-// engines.
-constexpr double CostNoise = 0.25;
-
 // Part of a chain's room that a chain of another data centre must be emptier
 // by, since the caller's bytes then cross between data centres.
 constexpr double CrossingPenalty = 0.05;
@@ -81,17 +67,22 @@
     Here[Known.m_Record.m_DataCentre].push_back({Id, Held});
     All.push_back({Id, Held});
   }
-  m_Stops.clear();
-  for (const StagePlan &Each : All)
-    m_Stops[Engines.find(Each.m_Endpoint)->m_Record.m_DataCentre].push_back(
-        {Each.m_Endpoint, Each.m_Layers});
-  for (auto &[DataCentre, Stops] : m_Stops)
-    std::stable_sort(Stops.begin(), Stops.end(),
-                     [](const Stop &A, const Stop &B) {
-                       return A.m_Held.m_First < B.m_Held.m_First;
-                     });
   const auto Add = [&](Path Stages) {
-    m_Chains.push_back(makeChain(Engines, std::move(Stages)));
+    Chain Fresh;
+    Fresh.m_DataCentre =
+        Engines.find(Stages.front().m_Endpoint)->m_Record.m_DataCentre;
+    Fresh.m_RoomTokens = std::numeric_limits<double>::max();
+    for (const StagePlan &Each : Stages) {
+      const EndpointRecord &Record = Engines.find(Each.m_Endpoint)->m_Record;
+      Fresh.m_Crosses |= Record.m_DataCentre != Fresh.m_DataCentre;
+      const std::uint32_t Held =
+          Record.m_Layers.m_End - Record.m_Layers.m_First;
+      const std::uint32_t Used = Each.m_Layers.m_End - Each.m_Layers.m_First;
+      const double Room = kvRoom(Model, Record.m_Accelerator, Held) / Used;
+      Fresh.m_RoomTokens = std::min(Fresh.m_RoomTokens, Room);
+    }
+    Fresh.m_Stages = std::move(Stages);
+    m_Chains.push_back(std::move(Fresh));
   };
   const auto Whole = ByDataCentre;
   for (auto &[DataCentre, Left] : ByDataCentre) {
@@ -112,29 +103,20 @@
       Add(std::move(Stages));
 }
 
-Chain ChainRouter::makeChain(const Fleet &Engines, Path Stages) const {
-  Chain Fresh;
-  Fresh.m_DataCentre =
-      Engines.find(Stages.front().m_Endpoint)->m_Record.m_DataCentre;
-  Fresh.m_RoomTokens = std::numeric_limits<double>::max();
-  for (const StagePlan &Each : Stages) {
-    const EndpointRecord &Record = Engines.find(Each.m_Endpoint)->m_Record;
-    Fresh.m_Crosses |= Record.m_DataCentre != Fresh.m_DataCentre;
-    const std::uint32_t Held = Record.m_Layers.m_End - Record.m_Layers.m_First;
-    const std::uint32_t Used = Each.m_Layers.m_End - Each.m_Layers.m_First;
-    const double Room = kvRoom(m_Model, Record.m_Accelerator, Held) / Used;
-    Fresh.m_RoomTokens = std::min(Fresh.m_RoomTokens, Room);
-  }
-  Fresh.m_Stages = std::move(Stages);
-  return Fresh;
-}
-
 double ChainRouter::fill(const Fleet &Engines, const Chain &Of,
                          Instant Now) const {
   const FleetEndpoint *First = Engines.find(Of.m_Stages.front().m_Endpoint);
   if (!First || Now < First->m_FullUntil)
     return 1;
-  double Most = firstTaken(*First);
+  const unsigned Running = First->m_Load ? First->m_Load->m_Running +
+                                               First->m_Load->m_Queued +
+                                               First->m_SentSinceReport
+                                         : 0;
+  double Most =
+      m_Model.m_FirstStageSlots > 0
+          ? static_cast<double>(std::max(Running, First->m_InFlight)) /
+                m_Model.m_FirstStageSlots
+          : 0;
   for (const StagePlan &Each : Of.m_Stages) {
     const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
     if (!Known || Now < Known->m_FullUntil)
@@ -144,17 +126,6 @@
   return Most;
 }
 
-double ChainRouter::firstTaken(const FleetEndpoint &Of) const {
-  if (m_Model.m_FirstStageSlots == 0)
-    return 0;
-  const unsigned Running =
-      Of.m_Load
-          ? Of.m_Load->m_Running + Of.m_Load->m_Queued + Of.m_SentSinceReport
-          : 0;
-  return static_cast<double>(std::max(Running, Of.m_InFlight)) /
-         m_Model.m_FirstStageSlots;
-}
-
 double ChainRouter::memoryRoom(const FleetEndpoint &Of) const {
   if (Of.m_Load && Of.m_Load->m_KvTotal > 0)
     return Of.m_Load->m_KvTotal;
@@ -181,100 +152,35 @@
   return Found;
 }
 
-// The path over \p Stops whose engines have the most room for the request;
-// empty when there is none.
-Path ChainRouter::roomiestPath(const Fleet &Engines,
-                               const std::vector<Stop> &Stops,
-                               const RequestSize &Size,
-                               const EndpointSet &Avoid, Instant Now,
-                               Random &Rng) const {
-  constexpr double NoPath = std::numeric_limits<double>::max();
-  std::uniform_real_distribution<double> Noise(1 - CostNoise, 1 + CostNoise);
-  std::vector<double> Cost(m_Model.m_Layers + 1, NoPath);
-  std::vector<StagePlan> Last(m_Model.m_Layers + 1);
-  Cost[0] = 0;
-  // In the order of their first layers: what leads to a layer that an engine
-  // holds begins before it, but may end after its first layer, so each engine
-  // looks at all the layers at which it may be entered.
-  std::vector<StopCost> Open;
-  for (const Stop &Each : Stops) {
-    const FleetEndpoint *Known = Engines.find(Each.m_Engine);
-    if (!Known || Now < Known->m_FullUntil || Avoid.contains(Each.m_Engine))
-      continue;
-    const double Taken = memoryTaken(*Known);
-    const double Room = memoryRoom(*Known);
-    if (Taken >= 1 || Room <= 0)
-      continue;
-    const bool Shunned = Known->slow() || Known->m_Record.m_Leaving;
-    Open.push_back({&Each, (1 - Taken) * Room,
-                    Noise(Rng) * LayerCost * std::exp(TakenWeight * Taken) /
-                        Room,
-                    Shunned ? ShunnedCost : StageCost,
-                    firstTaken(*Known) < 1});
-  }
-  for (std::uint32_t At = 0; At < m_Model.m_Layers; ++At) {
-    if (Cost[At] == NoPath)
-      continue;
-    for (const StopCost &Each : Open) {
-      const LayerRange Held = Each.m_Stop->m_Held;
-      if (Held.m_First > At)
-        break;
-      const std::uint32_t End = std::min(Held.m_End, m_Model.m_Layers);
-      if (End <= At || Each.m_FreeTokens < Size.tokens() * (End - At) ||
-          (At == 0 && !Each.m_MayBeFirst))
-        continue;
-      const double Sum =
-          Cost[At] + Each.m_StageCost + Each.m_LayerCost * (End - At);
-      if (Sum >= Cost[End])
-        continue;
-      Cost[End] = Sum;
-      Last[End] = {Each.m_Stop->m_Engine, {At, End}};
-    }
-  }
-  Path Found;
-  if (Cost[m_Model.m_Layers] == NoPath)
-    return Found;
-  for (std::uint32_t At = m_Model.m_Layers; At > 0;
-       At = Found.back().m_Layers.m_First)
-    Found.push_back(Last[At]);
-  std::reverse(Found.begin(), Found.end());
-  return Found.size() <= MostStages ? Found : Path();
-}
-
-std::optional<Chain> ChainRouter::choose(const Fleet &Engines,
-                                         const RequestSize &Size,
-                                         const DataCentreId &Here,
-                                         const EndpointSet &Avoid, Instant Now,
-                                         Random &Rng) const {
-  std::vector<Chain> Options;
-  std::vector<double> Fills;
+const Chain *ChainRouter::choose(const Fleet &Engines, const RequestSize &Size,
+                                 const DataCentreId &Here,
+                                 const EndpointSet &Avoid, Instant Now,
+                                 Random &Rng) const {
+  struct Option {
+    const Chain *m_Chain;
+    double m_Fill;
+  };
+  std::vector<Option> Options;
   std::vector<double> Free;
-  const auto Offer = [&](Path Stages) {
-    if (Stages.empty())
-      return;
-    Chain Each = makeChain(Engines, std::move(Stages));
+  for (const Chain &Each : m_Chains) {
+    if (touches(Each.m_Stages, Avoid) || Size.tokens() > Each.m_RoomTokens)
+      continue;
     const double Fill = fill(Engines, Each, Now);
+    if (Fill >= 1)
+      continue;
+    Options.push_back({&Each, Fill});
     Free.push_back(std::max(0.01, 1 - Fill) * Each.m_RoomTokens);
-    Fills.push_back(Fill);
-    Options.push_back(std::move(Each));
-  };
-  for (const auto &[DataCentre, Stops] : m_Stops)
-    Offer(roomiestPath(Engines, Stops, Size, Avoid, Now, Rng));
-  // One that leaves its data centre, where none has a whole one.
-  if (Options.empty())
-    for (const Chain &Each : m_Chains)
-      if (Each.m_Crosses && !touches(Each.m_Stages, Avoid) &&
-          fill(Engines, Each, Now) < 1 && Size.tokens() <= Each.m_RoomTokens)
-        Offer(Each.m_Stages);
+  }
   if (Options.empty())
-    return std::nullopt;
+    return nullptr;
   std::discrete_distribution<std::size_t> Draw(Free.begin(), Free.end());
-  const auto Cost = [&](std::size_t I) {
-    return Fills[I] + (Options[I].m_DataCentre == Here ? 0 : CrossingPenalty);
+  const auto Cost = [&](const Option &Each) {
+    return Each.m_Fill +
+           (Each.m_Chain->m_DataCentre == Here ? 0 : CrossingPenalty);
   };
-  const std::size_t First = Draw(Rng);
-  const std::size_t Second = Draw(Rng);
-  return Options[Cost(Second) < Cost(First) ? Second : First];
+  const Option &First = Options[Draw(Rng)];
+  const Option &Second = Options[Draw(Rng)];
+  return Cost(Second) < Cost(First) ? Second.m_Chain : First.m_Chain;
 }
 
 } // namespace mimosadale::decide
--- a/packages/decide/chain_router.h
+++ b/packages/decide/chain_router.h
@@ -6,8 +6,6 @@
 #include "decide/path_chooser.h"
 #include "decide/routing.h"
 
-#include <optional>
-
 namespace mimosadale::decide {
 
 /// A path whose stages tile the model; most lie within one data centre.
@@ -40,21 +38,16 @@
                const EngineModel &Model);
 
   /// The chain for a request of \p Size, without the engines of \p Avoid; none
-  /// when no whole chain with room is left. Within each data centre the stages
-  /// are those with the most room; of two data centres drawn by their room the
-  /// emptier one is taken, so that routers with equally old reports spread out.
-  std::optional<Chain> choose(const Fleet &Engines, const RequestSize &Size,
-                              const DataCentreId &Here,
-                              const EndpointSet &Avoid, Instant Now,
-                              Random &Rng) const;
+  /// when no whole chain is left. Of two drawn by their free room the emptier
+  /// one is taken, so that routers with equally old reports spread out.
+  const Chain *choose(const Fleet &Engines, const RequestSize &Size,
+                      const DataCentreId &Here, const EndpointSet &Avoid,
+                      Instant Now, Random &Rng) const;
 
   /// The part of \p Of that is taken, 1 for full: of the memory of its tightest
   /// stage, or of the places of its first one.
   double fill(const Fleet &Engines, const Chain &Of, Instant Now) const;
 
-  /// The part of its places as a first stage that is taken.
-  double firstTaken(const FleetEndpoint &Of) const;
-
   /// The engine of \p Of whose memory is taken the most.
   EndpointId fullest(const Fleet &Engines, const Chain &Of) const;
 
@@ -67,27 +60,6 @@
   const std::vector<Chain> &chains() const { return m_Chains; }
 
 private:
-  // An engine that paths may lead through, in the order of its first layer.
-  struct Stop {
-    EndpointId m_Engine;
-    LayerRange m_Held;
-  };
-
-  // The same with what a request would cost there.
-  struct StopCost {
-    const Stop *m_Stop;
-    double m_FreeTokens; // times layers
-    double m_LayerCost;
-    double m_StageCost;
-    bool m_MayBeFirst;
-  };
-
-  Chain makeChain(const Fleet &Engines, Path Stages) const;
-  Path roomiestPath(const Fleet &Engines, const std::vector<Stop> &Stops,
-                    const RequestSize &Size, const EndpointSet &Avoid,
-                    Instant Now, Random &Rng) const;
-
-  std::map<DataCentreId, std::vector<Stop>> m_Stops;
   std::vector<Chain> m_Chains;
   EngineModel m_Model;
 };
--- a/packages/decide/layer_orders.cpp
+++ b/packages/decide/layer_orders.cpp
@@ -1,6 +1,7 @@
 #include "decide/layer_orders.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mimosadale::decide {
 
@@ -49,65 +50,6 @@
   return !Held && m_Pending.empty() && Now - m_KnownSince < SettleTime;
 }
 
-namespace {
-
-using LayerCounts = std::map<DataCentreId, std::vector<int>>;
-
-// How many usable engines hold each layer, by data centre.
-LayerCounts countHolders(const Fleet &Engines, const ServiceId &Service,
-                         const EngineModel &Model) {
-  LayerCounts Counts;
-  for (const auto &[Id, Known] : Engines.all()) {
-    if (Known.m_Record.m_Service != Service)
-      continue;
-    std::vector<int> &Count = Counts[Known.m_Record.m_DataCentre];
-    Count.resize(Model.m_Layers, 0);
-    const LayerRange Held = Known.m_Record.m_Layers;
-    if (Known.usable())
-      for (std::uint32_t L = Held.m_First;
-           L < std::min(Held.m_End, Model.m_Layers); ++L)
-        ++Count[L];
-  }
-  return Counts;
-}
-
-// Drops orders that give up a layer which, until all orders under way are done,
-// fewer engines would hold than after that.
-void dropUnsafe(const Fleet &Engines, const Fleet &Expected,
-                const ServiceId &Service, const EngineModel &Model,
-                std::vector<PlaceOrder> &Orders) {
-  LayerCounts Now = countHolders(Engines, Service, Model);
-  LayerCounts Then = countHolders(Expected, Service, Model);
-  const auto Each = [](LayerRange Of, LayerRange Without, auto Do) {
-    for (std::uint32_t L = Of.m_First; L < Of.m_End; ++L)
-      if (L < Without.m_First || L >= Without.m_End)
-        Do(L);
-  };
-  for (const PlaceOrder &One : Orders) {
-    const EndpointRecord &Record = Expected.find(One.m_Engine)->m_Record;
-    std::vector<int> &Count = Then[Record.m_DataCentre];
-    Each(One.m_Layers, Record.m_Layers, [&](auto L) { ++Count[L]; });
-    Each(Record.m_Layers, One.m_Layers, [&](auto L) { --Count[L]; });
-  }
-  std::erase_if(Orders, [&](const PlaceOrder &One) {
-    const EndpointRecord &Record = Engines.find(One.m_Engine)->m_Record;
-    std::vector<int> &Count = Now[Record.m_DataCentre];
-    const std::vector<int> &Least = Then[Record.m_DataCentre];
-    // Without a whole path nothing is lost.
-    if (std::find(Count.begin(), Count.end(), 0) != Count.end())
-      return false;
-    bool Safe = true;
-    Each(Record.m_Layers, One.m_Layers, [&](auto L) {
-      Safe = Safe && Count[L] - 1 >= std::max(1, Least[L]);
-    });
-    if (Safe)
-      Each(Record.m_Layers, One.m_Layers, [&](auto L) { --Count[L]; });
-    return !Safe;
-  });
-}
-
-} // namespace
-
 std::vector<PlaceOrder> LayerOrders::due(const Fleet &Engines,
                                          const ServiceId &Service,
                                          const EngineModel &Model,
@@ -122,11 +64,19 @@
     Expected.put(Record, Now);
   }
   std::vector<PlaceOrder> Orders = planLayers(Expected, Service, Model);
+  std::set<DataCentreId> Changing;
+  for (const auto &[Id, Each] : m_Pending)
+    Changing.insert(Engines.find(Id)->m_Record.m_DataCentre);
+  // While a data centre changes, no engine gives up what another only is about
+  // to hold.
   std::erase_if(Orders, [&](const PlaceOrder &Each) {
+    const EndpointRecord &Now = Engines.find(Each.m_Engine)->m_Record;
+    const bool GivesUp = Now.m_Layers.m_First < Each.m_Layers.m_First ||
+                         Now.m_Layers.m_End > Each.m_Layers.m_End;
     return m_RefusedAt.contains(Each.m_Engine) ||
-           m_Pending.contains(Each.m_Engine);
+           (GivesUp && Now.m_Layers.m_End > 0 &&
+            Changing.contains(Now.m_DataCentre));
   });
-  dropUnsafe(Engines, Expected, Service, Model, Orders);
   return Orders;
 }
 
--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -1,6 +1,6 @@
 #include "decide/layer_planner.h"
 
-#include "decide/layer_balance.h"
+#include "decide/tiling.h"
 
 #include <algorithm>
 #include <map>
@@ -15,15 +15,35 @@
 // Engines that one chain may have: the longest path that an engine accepts.
 constexpr std::size_t MostStages = 32;
 
-// Free part of its memory that an engine keeps at least.
+// Free part of its memory that an engine keeps at least when a gap is filled.
 constexpr double LeastFree = 0.05;
 
-using Holders = std::vector<LayerHolder>;
+// Free part below which an engine is tight and hands layers on.
+constexpr double TightFree = 0.28;
+
+// Free part at which no more engines are drawn into filling a gap: each one
+// that is reloads. Less while an engine that leaves still serves the gap, since
+// the others then only add to what they hold.
+constexpr double GapFree = 0.33;
+constexpr double LeavingGapFree = 0.25;
+
+// Gain in the free part of the tighter engine below which no layer is moved.
+constexpr double LeastGain = 0.04;
+
+struct Member {
+  EndpointId m_Id;
+  double m_MemoryMb = 0;
+  LayerRange m_Held;
+
+  std::uint32_t layers() const { return m_Held.m_End - m_Held.m_First; }
+};
+
+using Members = std::vector<Member>;
 
 // The chains that a data centre's memory can carry with room for requests.
-std::size_t chainCount(const Holders &All, const EngineModel &Model) {
+std::size_t chainCount(const Members &All, const EngineModel &Model) {
   double Memory = 0;
-  for (const LayerHolder &Each : All)
+  for (const Member &Each : All)
     Memory += Each.m_MemoryMb;
   const double OneChain = Model.m_Layers * Model.m_LayerMb;
   const auto ByMemory =
@@ -35,14 +55,14 @@
 }
 
 // Deals the engines, largest first, to the chain with the least memory.
-std::vector<Holders> deal(Holders All, std::size_t Chains) {
+std::vector<Members> deal(Members All, std::size_t Chains) {
   std::stable_sort(All.begin(), All.end(),
-                   [](const LayerHolder &A, const LayerHolder &B) {
+                   [](const Member &A, const Member &B) {
                      return A.m_MemoryMb > B.m_MemoryMb;
                    });
-  std::vector<Holders> Dealt(Chains);
+  std::vector<Members> Dealt(Chains);
   std::vector<double> Memory(Chains, 0);
-  for (const LayerHolder &Each : All) {
+  for (const Member &Each : All) {
     const auto Least = std::min_element(Memory.begin(), Memory.end());
     *Least += Each.m_MemoryMb;
     Dealt[static_cast<std::size_t>(Least - Memory.begin())].push_back(Each);
@@ -50,74 +70,350 @@
   return Dealt;
 }
 
-// The first layers of engines that hold none yet: whole chains, each split by
-// memory.
-Holders dealFresh(const Holders &All, const EngineModel &Model) {
-  Holders Placed;
-  if (chainCount(All, Model) == 0)
-    return Placed;
-  for (const Holders &Chain : deal(All, chainCount(All, Model))) {
+// Plans for the engines of one data centre.
+class DataCentrePlan {
+public:
+  DataCentrePlan(const EngineModel &Model, Members All,
+                 std::vector<StagePlan> Leaving)
+      : m_Model(Model), m_All(std::move(All)), m_Leaving(std::move(Leaving)) {}
+
+  std::vector<PlaceOrder> orders() {
+    const bool Empty =
+        std::all_of(m_All.begin(), m_All.end(),
+                    [](const Member &Each) { return Each.layers() == 0; });
+    if (Empty) {
+      dealFresh();
+      return m_Orders;
+    }
+    std::vector<StagePlan> Left;
+    for (const Member &Each : m_All)
+      if (Each.layers() > 0)
+        Left.push_back({Each.m_Id, Each.m_Held});
+    const std::size_t Wanted =
+        std::max<std::size_t>(1, chainCount(m_All, m_Model));
+    const std::vector<Path> Chains = disjointTilings(Left, m_Model.m_Layers);
+    for (const Path &Each : Chains)
+      resolveOverlaps(Each);
+    if (Chains.size() < Wanted) {
+      std::vector<StagePlan> Serving = Left;
+      Serving.insert(Serving.end(), m_Leaving.begin(), m_Leaving.end());
+      // While an engine that leaves still serves, the others only add its
+      // layers to theirs.
+      m_EnoughFree = fewestStages(Serving, m_Model.m_Layers).empty()
+                         ? GapFree
+                         : LeavingGapFree;
+      fillGaps(Left, Wanted - Chains.size());
+      return m_Orders;
+    }
+    if (!m_Orders.empty())
+      return m_Orders;
+    // Engines that no chain uses are as good as idle.
+    std::vector<EndpointId> Idle;
+    for (const Member &Each : m_All)
+      if (Each.layers() == 0)
+        Idle.push_back(Each.m_Id);
+    for (const StagePlan &Each : Left)
+      Idle.push_back(Each.m_Endpoint);
+    if (!Idle.empty())
+      useIdle(Chains, Idle.front());
+    if (m_Orders.empty())
+      for (const Path &Each : Chains)
+        balance(Each);
+    return m_Orders;
+  }
+
+private:
+  Member &member(const EndpointId &Id) {
+    return *std::find_if(m_All.begin(), m_All.end(),
+                         [&](const Member &Each) { return Each.m_Id == Id; });
+  }
+
+  double freePart(const Member &Of, std::uint32_t Layers) const {
+    return 1 - Layers * m_Model.m_LayerMb / Of.m_MemoryMb;
+  }
+
+  void order(const EndpointId &Id, LayerRange Layers) {
+    if (member(Id).m_Held != Layers)
+      m_Orders.push_back({Id, Layers});
+  }
+
+  void dealFresh() {
+    const std::size_t Chains = chainCount(m_All, m_Model);
+    if (Chains == 0)
+      return;
+    for (const Members &Chain : deal(m_All, Chains)) {
+      const auto Ranges = split(Chain, {0, m_Model.m_Layers});
+      for (std::size_t I = 0; I < Ranges.size(); ++I)
+        if (Ranges[I].m_First < Ranges[I].m_End)
+          order(Chain[I].m_Id, Ranges[I]);
+    }
+  }
+
+  // The layers of \p Over for \p Engines in their order; empty if they do not
+  // fit.
+  std::vector<LayerRange> split(const Members &Engines, LayerRange Over) const {
     std::vector<double> Memory;
-    for (const LayerHolder &Each : Chain)
+    for (const Member &Each : Engines)
       Memory.push_back(Each.m_MemoryMb * (1 - LeastFree));
-    const auto Ranges = splitByMemory(Memory, Model.m_Layers, Model.m_LayerMb);
-    for (std::size_t I = 0; I < Ranges.size(); ++I) {
-      Placed.push_back(Chain[I]);
-      if (Ranges[I].m_First < Ranges[I].m_End)
-        Placed.back().m_Held = Ranges[I];
+    std::vector<LayerRange> Ranges =
+        splitByMemory(Memory, Over.m_End - Over.m_First, m_Model.m_LayerMb);
+    for (LayerRange &Each : Ranges) {
+      Each.m_First += Over.m_First;
+      Each.m_End += Over.m_First;
     }
+    return Ranges;
   }
-  return Placed;
-}
 
-// The next order on the way from \p Held to \p Wanted. Layers are added at
-// once, but given up only when no request passes through them any more; so what
-// fits is added first, and nothing is given up with it, unless no whole path is
-// left (\p Broken), since then nothing passes.
-LayerRange towards(LayerRange Wanted, const LayerHolder &Now, bool Broken,
-                   const EngineModel &Model) {
-  const LayerRange Held = Now.m_Held;
-  if (Now.layers() == 0 || Wanted.m_First >= Held.m_End ||
-      Held.m_First >= Wanted.m_End)
-    return Wanted;
-  const std::uint32_t Most = mostLayers(Now.m_MemoryMb, Model);
-  LayerRange Added = Held;
-  while (Added.m_End - Added.m_First < Most && Added.m_First > Wanted.m_First)
-    --Added.m_First;
-  while (Added.m_End - Added.m_First < Most && Added.m_End < Wanted.m_End)
-    ++Added.m_End;
-  if (Added != Held)
-    return Added;
-  if (Broken)
-    return Wanted;
-  return {std::max(Held.m_First, Wanted.m_First),
-          std::min(Held.m_End, Wanted.m_End)};
-}
+  double tightest(const Members &Engines,
+                  const std::vector<LayerRange> &Ranges) const {
+    double Least = 1;
+    for (std::size_t I = 0; I < Ranges.size(); ++I)
+      Least = std::min(
+          Least, freePart(Engines[I], Ranges[I].m_End - Ranges[I].m_First));
+    return Least;
+  }
 
-std::vector<PlaceOrder> planDataCentre(const Holders &Now,
-                                       const EngineModel &Model) {
-  const bool Empty =
-      std::all_of(Now.begin(), Now.end(),
-                  [](const LayerHolder &Each) { return Each.layers() == 0; });
-  std::vector<PlaceOrder> Orders;
-  if (Empty) {
-    for (const LayerHolder &Each : balanceLayers(dealFresh(Now, Model), Model))
-      if (Each.layers() > 0)
-        Orders.push_back({Each.m_Id, Each.m_Held});
-    return Orders;
-  }
-  const Holders Wanted = balanceLayers(Now, Model);
-  std::vector<bool> Held(Model.m_Layers, false);
-  for (const LayerHolder &Each : Now)
-    for (std::uint32_t L = Each.m_Held.m_First; L < Each.m_Held.m_End; ++L)
-      Held[L] = true;
-  const bool Broken = std::find(Held.begin(), Held.end(), false) != Held.end();
-  for (std::size_t I = 0; I < Now.size(); ++I)
-    if (Wanted[I].m_Held != Now[I].m_Held)
-      Orders.push_back(
-          {Now[I].m_Id, towards(Wanted[I].m_Held, Now[I], Broken, Model)});
-  return Orders;
-}
+  // Deals the engines \p Left, which no whole chain uses, to \p Count chains
+  // with gaps and fills the gaps of each.
+  void fillGaps(const std::vector<StagePlan> &Left, std::size_t Count) {
+    Members Holders;
+    Members Idle;
+    for (const StagePlan &Each : Left)
+      Holders.push_back(member(Each.m_Endpoint));
+    for (const Member &Each : m_All)
+      if (Each.layers() == 0)
+        Idle.push_back(Each);
+    std::stable_sort(
+        Holders.begin(), Holders.end(),
+        [](const Member &A, const Member &B) { return A.m_Held < B.m_Held; });
+    std::vector<Members> Chains(Count);
+    for (const Member &Each : Holders)
+      if (Members *To = bestChain(Chains, Each))
+        To->push_back(Each);
+      else
+        Idle.push_back(Each); // others hold all that it holds
+    // The idle engines, largest first, to the chain with the least memory.
+    std::stable_sort(Idle.begin(), Idle.end(),
+                     [](const Member &A, const Member &B) {
+                       return A.m_MemoryMb > B.m_MemoryMb;
+                     });
+    std::vector<Members> IdleOf(Count);
+    for (const Member &Each : Idle) {
+      std::size_t Least = 0;
+      for (std::size_t I = 1; I < Count; ++I)
+        if (memory(Chains[I]) + memory(IdleOf[I]) <
+            memory(Chains[Least]) + memory(IdleOf[Least]))
+          Least = I;
+      IdleOf[Least].push_back(Each);
+    }
+    for (std::size_t I = 0; I < Count; ++I)
+      fillGap(Chains[I], std::move(IdleOf[I]));
+  }
+
+  static double memory(const Members &Of) {
+    double Sum = 0;
+    for (const Member &Each : Of)
+      Sum += Each.m_MemoryMb;
+    return Sum;
+  }
+
+  // The chain whose end \p Next goes on from the most closely, or null when it
+  // makes none of them longer.
+  static Members *bestChain(std::vector<Members> &Chains, const Member &Next) {
+    Members *Best = nullptr;
+    std::uint32_t BestMisfit = 0;
+    for (Members &Each : Chains) {
+      const std::uint32_t End = Each.empty() ? 0 : Each.back().m_Held.m_End;
+      if (Next.m_Held.m_End <= End)
+        continue;
+      const std::uint32_t Misfit = End > Next.m_Held.m_First
+                                       ? End - Next.m_Held.m_First
+                                       : Next.m_Held.m_First - End;
+      if (!Best || Misfit < BestMisfit) {
+        Best = &Each;
+        BestMisfit = Misfit;
+      }
+    }
+    return Best;
+  }
+
+  // Fills the gaps of \p Chain, whose engines stand in the order of their
+  // layers, with the help of \p Idle.
+  void fillGap(const Members &Chain, Members Idle) {
+    std::optional<LayerRange> Gap; // from the first one to the last one
+    std::uint32_t Covered = 0;
+    const auto Note = [&](std::uint32_t From, std::uint32_t End) {
+      if (From < End)
+        Gap = LayerRange{Gap ? Gap->m_First : From, End};
+    };
+    for (const Member &Each : Chain) {
+      Note(Covered, Each.m_Held.m_First);
+      Covered = std::max(Covered, Each.m_Held.m_End);
+    }
+    Note(Covered, m_Model.m_Layers);
+    if (!Gap)
+      return;
+    const auto After = [&](std::uint32_t Layer) {
+      return static_cast<std::size_t>(
+          std::find_if(Chain.begin(), Chain.end(),
+                       [&](const Member &Each) {
+                         return Each.m_Held.m_First >= Layer;
+                       }) -
+          Chain.begin());
+    };
+    fillFromWindow(Chain, *Gap, After(Gap->m_First), After(Gap->m_End),
+                   std::move(Idle));
+  }
+
+  // Widens the window [First, Last) of the chain around the gap until its
+  // engines, with the idle ones in the gap, have room for requests.
+  void fillFromWindow(const Members &Chain, LayerRange Gap, std::size_t First,
+                      std::size_t Last, Members Idle) {
+    double Best = -1;
+    Members BestEngines;
+    std::vector<LayerRange> BestRanges;
+    while (true) {
+      Members Engines(Chain.begin() + static_cast<std::ptrdiff_t>(First),
+                      Chain.begin() + static_cast<std::ptrdiff_t>(Last));
+      const auto Middle =
+          std::find_if(Engines.begin(), Engines.end(), [&](const Member &Each) {
+            return Each.m_Held.m_First >= Gap.m_End;
+          });
+      Engines.insert(Middle, Idle.begin(), Idle.end());
+      const LayerRange Over{First == 0 ? 0 : Chain[First - 1].m_Held.m_End,
+                            Last == Chain.size() ? m_Model.m_Layers
+                                                 : Chain[Last].m_Held.m_First};
+      const auto Ranges = split(Engines, Over);
+      if (!Ranges.empty()) {
+        const double Free = tightest(Engines, Ranges);
+        if (Free > Best + LeastGain) {
+          Best = Free;
+          BestEngines = Engines;
+          BestRanges = Ranges;
+        }
+      }
+      if (Best >= m_EnoughFree || (First == 0 && Last == Chain.size()))
+        break;
+      First -= First > 0 ? 1 : 0;
+      Last += Last < Chain.size() ? 1 : 0;
+    }
+    for (std::size_t I = 0; I < BestRanges.size(); ++I)
+      order(BestEngines[I].m_Id, withHeld(BestEngines[I], BestRanges[I]));
+  }
+
+  // \p Wanted with all that the engine holds, if it has the memory: layers are
+  // added at once, but given up only when no request passes through them any
+  // more. What it need not hold is given up once the chain is whole.
+  LayerRange withHeld(const Member &Engine, LayerRange Wanted) const {
+    const LayerRange Held = Engine.m_Held;
+    if (Engine.layers() == 0 || Wanted.m_First > Held.m_End ||
+        Held.m_First > Wanted.m_End || Wanted.m_First >= Wanted.m_End)
+      return Wanted;
+    const LayerRange Both{std::min(Held.m_First, Wanted.m_First),
+                          std::max(Held.m_End, Wanted.m_End)};
+    const bool Fits =
+        freePart(Engine, Both.m_End - Both.m_First) >= LeastFree;
+    return Fits ? Both : Wanted;
+  }
+
+  // Neighbours that hold the same layers: each keeps a part, by memory.
+  void resolveOverlaps(const Path &Chain) {
+    for (std::size_t I = 0; I + 1 < Chain.size(); ++I) {
+      const Member &Left = member(Chain[I].m_Endpoint);
+      const Member &Right = member(Chain[I + 1].m_Endpoint);
+      if (Right.m_Held.m_First >= Left.m_Held.m_End ||
+          Right.m_Held.m_First <= Left.m_Held.m_First ||
+          Right.m_Held.m_End <= Left.m_Held.m_End)
+        continue;
+      const auto Ranges =
+          split({Left, Right}, {Left.m_Held.m_First, Right.m_Held.m_End});
+      if (Ranges.empty())
+        continue;
+      const std::uint32_t Cut =
+          std::clamp(Ranges[0].m_End, Right.m_Held.m_First, Left.m_Held.m_End);
+      order(Left.m_Id, {Left.m_Held.m_First, Cut});
+      order(Right.m_Id, {Cut, Right.m_Held.m_End});
+      ++I; // the next pair has an engine of this one
+    }
+  }
+
+  const Member *tightestOf(const Path &Chain) {
+    const Member *Found = nullptr;
+    for (const StagePlan &Each : Chain) {
+      const Member &One = member(Each.m_Endpoint);
+      if (!Found ||
+          freePart(One, One.layers()) < freePart(*Found, Found->layers()))
+        Found = &One;
+    }
+    return Found;
+  }
+
+  // An idle engine takes the upper part of the tightest one's layers; that one
+  // gives them up in the next plan.
+  void useIdle(const std::vector<Path> &Chains, const EndpointId &Idle) {
+    const Member *Tightest = nullptr;
+    for (const Path &Each : Chains)
+      if (const Member *One = tightestOf(Each);
+          !Tightest || freePart(*One, One->layers()) <
+                           freePart(*Tightest, Tightest->layers()))
+        Tightest = One;
+    const Member &Tight = *Tightest;
+    const Member &Taker = member(Idle);
+    // It already holds a part of the tight one's layers: that one gives it up.
+    if (Taker.layers() > 0 && Taker.m_Held.m_End == Tight.m_Held.m_End &&
+        Taker.m_Held.m_First > Tight.m_Held.m_First) {
+      order(Tight.m_Id, {Tight.m_Held.m_First, Taker.m_Held.m_First});
+      return;
+    }
+    if (freePart(Tight, Tight.layers()) > TightFree + LeastGain ||
+        Tight.layers() < 2)
+      return;
+    const auto Ranges = split({Tight, Taker}, Tight.m_Held);
+    if (!Ranges.empty() && Ranges[1].m_First < Ranges[1].m_End)
+      order(Idle, Ranges[1]);
+  }
+
+  // The tightest engine's neighbour with more room takes layers from its edge;
+  // the overlap is resolved in the next plan.
+  void balance(const Path &Chain) {
+    const Member &Tight = *tightestOf(Chain);
+    if (freePart(Tight, Tight.layers()) > TightFree)
+      return;
+    for (std::size_t I = 0; I < Chain.size(); ++I) {
+      if (Chain[I].m_Endpoint != Tight.m_Id)
+        continue;
+      const Member *Best = nullptr;
+      for (const std::size_t J : {I - 1, I + 1})
+        if (J < Chain.size()) {
+          const Member &Each = member(Chain[J].m_Endpoint);
+          if (!Best ||
+              freePart(Each, Each.layers()) > freePart(*Best, Best->layers()))
+            Best = &Each;
+        }
+      if (Best)
+        widenInto(*Best, Tight);
+      return;
+    }
+  }
+
+  void widenInto(const Member &Roomy, const Member &Tight) {
+    const bool Before = Roomy.m_Held.m_First < Tight.m_Held.m_First;
+    const Member &Left = Before ? Roomy : Tight;
+    const Member &Right = Before ? Tight : Roomy;
+    const auto Ranges =
+        split({Left, Right}, {Left.m_Held.m_First, Right.m_Held.m_End});
+    if (Ranges.empty() || tightest({Left, Right}, Ranges) <
+                              freePart(Tight, Tight.layers()) + LeastGain)
+      return;
+    order(Roomy.m_Id, Before ? Ranges[0] : Ranges[1]);
+  }
+
+  const EngineModel &m_Model;
+  Members m_All;
+  std::vector<StagePlan> m_Leaving; // engines that leave and still serve
+  double m_EnoughFree = GapFree;    // at which a gap counts as well filled
+  std::vector<PlaceOrder> m_Orders;
+};
 
 } // namespace
 
@@ -152,18 +448,23 @@
 std::vector<PlaceOrder> planLayers(const Fleet &Engines,
                                    const ServiceId &Service,
                                    const EngineModel &Model) {
-  std::map<DataCentreId, Holders> ByDataCentre;
+  std::map<DataCentreId, Members> ByDataCentre;
+  std::map<DataCentreId, std::vector<StagePlan>> Leaving;
   for (const auto &[Id, Known] : Engines.all()) {
     const auto Kind = Model.m_Kinds.find(Known.m_Record.m_Accelerator);
-    if (Known.m_Record.m_Service != Service || Kind == Model.m_Kinds.end() ||
-        !Known.usable())
+    if (Known.m_Record.m_Service != Service || Kind == Model.m_Kinds.end())
       continue;
-    ByDataCentre[Known.m_Record.m_DataCentre].push_back(
-        {Id, Kind->second.m_MemoryMb, Known.m_Record.m_Layers});
+    if (Known.usable())
+      ByDataCentre[Known.m_Record.m_DataCentre].push_back(
+          {Id, Kind->second.m_MemoryMb, Known.m_Record.m_Layers});
+    else if (Known.passable())
+      Leaving[Known.m_Record.m_DataCentre].push_back(
+          {Id, Known.m_Record.m_Layers});
   }
   std::vector<PlaceOrder> Orders;
-  for (const auto &[DataCentre, All] : ByDataCentre)
-    for (PlaceOrder &Each : planDataCentre(All, Model))
+  for (auto &[DataCentre, All] : ByDataCentre)
+    for (PlaceOrder &Each :
+         DataCentrePlan(Model, std::move(All), Leaving[DataCentre]).orders())
       Orders.push_back(std::move(Each));
   return Orders;
 }
--- a/packages/decide/layer_planner.h
+++ b/packages/decide/layer_planner.h
@@ -21,10 +21,15 @@
 std::vector<LayerRange> splitByMemory(const std::vector<double> &MemoryMb,
                                       std::uint32_t Layers, double LayerMb);
 
-/// Orders that bring the engines of \p Service, data centre by data centre,
-/// closer to the layers that serve the most requests (`balanceLayers`). Where
-/// nothing is held, all engines are first split into chains. Engines that are
-/// suspect or leaving count as lost. Safe from any thread.
+/// Orders that bring the engines of \p Service closer to whole chains with room
+/// for requests. Within a data centre:
+/// - where nothing is held, all engines are split into chains;
+/// - a gap in a chain goes to idle engines, else to the engines around it, as
+///   few of them as leave room for requests;
+/// - where two neighbours of a chain hold the same layers, one gives them up;
+/// - an idle engine takes half of the layers of the tightest one;
+/// - a tight engine hands layers to a roomier neighbour.
+/// Engines that are suspect or leaving count as lost. Safe from any thread.
 std::vector<PlaceOrder> planLayers(const Fleet &Engines,
                                    const ServiceId &Service,
                                    const EngineModel &Model);
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -26,16 +26,15 @@
 constexpr Duration OverdueInterval = std::chrono::milliseconds(150);
 constexpr Duration OverduePathInterval = std::chrono::milliseconds(500);
 constexpr Duration SuspectInterval = std::chrono::milliseconds(500);
-constexpr Duration LoadInterval = std::chrono::milliseconds(2000);
+constexpr Duration LoadInterval = std::chrono::milliseconds(800);
 
 // The interval for the load grows with the routers that all ask: from this many
 // on in proportion, up to the longest.
 constexpr int RoutersOfLoadInterval = 16;
-constexpr Duration LongestLoadInterval = std::chrono::milliseconds(2800);
+constexpr Duration LongestLoadInterval = std::chrono::milliseconds(2000);
 
-// How many times as often engines are asked that fill up, and the part taken
-// from which on they do.
-constexpr int FillingTimes = 4;
+// The interval for chains that fill up, and the part from which on they do.
+constexpr Duration FillingInterval = std::chrono::milliseconds(400);
 constexpr double FillingPart = 0.6;
 
 // Time after which an engine that does not report counts as silent.
@@ -96,7 +95,8 @@
       askOnce(Id, Now, SuspectInterval);
 }
 
-// Asks the engines how full they are, while there is traffic.
+// Asks the first engine of each chain, which has the places, and the fullest
+// one, while there is traffic.
 void EngineWatch::askLoads(Instant Now) {
   const auto &Routes = m_Shared.m_Routes.current();
   if (!Routes || m_Shared.m_Calls->empty())
@@ -109,13 +109,12 @@
     const decide::ChainRouter *Chains = m_Shared.chainsOf(Each.m_Name);
     if (!Chains)
       continue;
-    for (const auto &[Id, Known] : m_Shared.m_Fleet.all()) {
-      if (Known.m_Record.m_Service != Each.m_Name || Known.m_Suspect ||
-          Known.m_Record.m_Layers.m_End == 0)
-        continue;
-      const double Taken =
-          std::max(Chains->memoryTaken(Known), Chains->firstTaken(Known));
-      askOnce(Id, Now, Taken > FillingPart ? Relaxed / FillingTimes : Relaxed);
+    for (const decide::Chain &Chain : Chains->chains()) {
+      const bool Filling =
+          Chains->fill(m_Shared.m_Fleet, Chain, Now) > FillingPart;
+      const Duration Interval = Filling ? FillingInterval : Relaxed;
+      askOnce(Chains->fullest(m_Shared.m_Fleet, Chain), Now, Interval);
+      askOnce(Chain.m_Stages.front().m_Endpoint, Now, Interval);
     }
   }
 }
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -172,7 +172,7 @@
 std::optional<ForwardCall::Target> ForwardCall::chooseChain() {
   const decide::RequestSize Size =
       m_Facts.m_Size.value_or(decide::RequestSize{});
-  const std::optional<decide::Chain> Chosen = m_Shared.chainsOf(m_Service)->choose(
+  const decide::Chain *Chosen = m_Shared.chainsOf(m_Service)->choose(
       m_Shared.m_Fleet, Size, DataCentreId(m_Shared.m_Settings.data_centre()),
       m_Run->avoided(), ForwardState::now(), m_Shared.m_Random);
   if (!Chosen) {
@@ -542,7 +542,7 @@
     return false;
   decide::EndpointSet Avoid = m_Run->avoided();
   Avoid.insert(m_Target.m_Endpoint);
-  const std::optional<decide::Chain> Other = m_Shared.chainsOf(m_Service)->choose(
+  const decide::Chain *Other = m_Shared.chainsOf(m_Service)->choose(
       m_Shared.m_Fleet, m_Facts.m_Size.value_or(decide::RequestSize{}),
       DataCentreId(m_Shared.m_Settings.data_centre()), Avoid, Now,
       m_Shared.m_Random);
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -236,7 +236,7 @@
   Made.onFull(EndpointId("x0"), T0 + 1s);
   Random Rng(7);
   for (int I = 0; I < 100; ++I) {
-    const auto Chosen =
+    const Chain *Chosen =
         Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng);
     REQUIRE(Chosen);
     CHECK(Chosen->m_DataCentre.str() == "y");
@@ -245,7 +245,7 @@
   Full.m_Running = 192;
   Made.onReport(EndpointId("y0"), Full, T0);
   CHECK(Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng) ==
-        std::nullopt);
+        nullptr);
 }
 
 TEST_CASE("memory in use counts at every stage, by the engine's own total") {
@@ -283,7 +283,7 @@
   int Here = 0;
   constexpr int Requests = 120;
   for (int I = 0; I < Requests; ++I) {
-    const auto Chosen =
+    const Chain *Chosen =
         Router.choose(Made, {40, 20, 10}, DataCentreId("x"), {}, T0, Rng);
     REQUIRE(Chosen);
     Here += Chosen->m_DataCentre.str() == "x";
