--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -24,11 +24,11 @@
 // Free part at which no more engines are drawn into filling a gap: each one
 // that is reloads. Less while an engine that leaves still serves the gap, since
 // the others then only add to what they hold.
-constexpr double GapFree = 0.33;
-constexpr double LeavingGapFree = 0.25;
+constexpr double GapFree = 0.20;
+constexpr double LeavingGapFree = 0.12;
 
 // Gain in the free part of the tighter engine below which no layer is moved.
-constexpr double LeastGain = 0.04;
+constexpr double LeastGain = 0.08;
 
 struct Member {
   EndpointId m_Id;
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -190,6 +190,21 @@
   m_Endpoints.at(Id)->m_Silent = true;
 }
 
+void Estate::wake(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Endpoints.at(Id)->m_Silent = false;
+}
+
+int Estate::streams() {
+  const std::lock_guard Lock(m_Mutex);
+  return static_cast<int>(m_Streams.size());
+}
+
+void Estate::reuseAddress(const std::string &Id, const std::string &FreshId) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Endpoints.at(Id)->m_Id = FreshId;
+}
+
 void Estate::drain(const std::string &Id) {
   const std::lock_guard Lock(m_Mutex);
   m_Endpoints.at(Id)->m_Leaving = true;
@@ -337,7 +352,12 @@
     co_await pause(50ms);
   net::HttpResponse Answer;
   const std::string Expected = header(Request, platform::ExpectInstanceHeader);
-  if (!Expected.empty() && Expected != At.m_Id) {
+  std::string Self;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    Self = At.m_Id;
+  }
+  if (!Expected.empty() && Expected != Self) {
     Answer = notRun(421, At.address());
   } else if (Request.m_Target == platform::ReportPath) {
     Answer = At.m_Kind.empty() ? net::HttpResponse{404, {}, ""} : report(At);
@@ -360,7 +380,7 @@
     }
     Answer = {
         200,
-        {{platform::RequestIdHeader, Id}, {platform::SealHeader, At.m_Id}},
+        {{platform::RequestIdHeader, Id}, {platform::SealHeader, Self}},
         header(Request, platform::WorkspaceHeader) + " " + Request.m_Target +
             " " + Request.m_Body};
   }
@@ -370,8 +390,10 @@
 net::HttpResponse Estate::report(const Endpoint &At) {
   const std::lock_guard Lock(m_Mutex);
   json::array Stalled;
-  for (const auto &[Request, Address] : m_Stalled)
-    Stalled.push_back(json::object{{"Id", Request}, {"Address", Address}});
+  for (const auto &[Number, Each] : m_Streams)
+    if (Each.m_Path.front() == &At && !Each.m_WaitsFor.empty())
+      Stalled.push_back(json::object{{"Id", Each.m_Request},
+                                     {"Address", Each.m_WaitsFor}});
   return jsonAnswer(200, {{"Busy", false},
                           {"Sequence", At.m_Orders},
                           {"Queued", 0},
@@ -384,6 +406,11 @@
 net::HttpResponse Estate::order(Endpoint &At, const std::string &Body) {
   const std::lock_guard Lock(m_Mutex);
   const json::object From = json::parse(Body).as_object();
+  return From.at("Operation").as_string() == "repath" ? repath(At, From)
+                                                      : place(At, From);
+}
+
+net::HttpResponse Estate::place(Endpoint &At, const json::object &From) {
   const auto Fence = From.at("FencingToken").to_number<std::uint64_t>();
   if (Fence < At.m_Fence)
     return {412, {}, ""};
@@ -400,11 +427,31 @@
   return {202, {}, ""};
 }
 
-// Why the path cannot serve the request, if it cannot.
+net::HttpResponse Estate::repath(Endpoint &At, const json::object &From) {
+  const std::string Id(From.at("Id").as_string());
+  const auto Running =
+      std::find_if(m_Streams.begin(), m_Streams.end(), [&](const auto &Each) {
+        return Each.second.m_Request == Id &&
+               Each.second.m_Path.front() == &At;
+      });
+  if (Running == m_Streams.end())
+    return {404, {}, ""};
+  std::vector<Endpoint *> Path;
+  const auto Bad = badPart(At, std::string(From.at("Path").as_string()), Path);
+  if (Bad || !m_Repairs)
+    return jsonAnswer(409, {{"Address", Bad ? net::findHeader(
+                                                  Bad->m_Headers,
+                                                  platform::FaultAtHeader)
+                                            : At.address()}});
+  Running->second.m_Path = Path;
+  return {200, {}, ""};
+}
+
+// Reads a path. \returns the refusal if a part of it cannot serve.
 std::optional<net::HttpResponse>
-Estate::refusal(const Endpoint &At, const net::HttpRequest &Request,
+Estate::badPart(const Endpoint &At, const std::string &Whole,
                 std::vector<Endpoint *> &Path) {
-  std::string Text = header(Request, platform::PathHeader);
+  std::string Text = Whole;
   std::uint32_t Next = 0;
   while (!Text.empty()) {
     const std::string Part = Text.substr(0, Text.find(','));
@@ -418,8 +465,7 @@
         End > Engine->m_Layers.m_End)
       return notRun(421, Part.substr(0, Equals));
     if (First != Next)
-      m_Violations.push_back("layers out of order: " +
-                             header(Request, platform::PathHeader));
+      m_Violations.push_back("layers out of order: " + Whole);
     Next = static_cast<std::uint32_t>(End);
     Path.push_back(Engine);
   }
@@ -431,6 +477,24 @@
   return std::nullopt;
 }
 
+// Why the path cannot serve the request, if it cannot.
+std::optional<net::HttpResponse>
+Estate::refusal(const Endpoint &At, const net::HttpRequest &Request,
+                std::vector<Endpoint *> &Path) {
+  return badPart(At, header(Request, platform::PathHeader), Path);
+}
+
+// Whether the stream waits for a silent engine.
+bool Estate::stalled(int Number) {
+  const std::lock_guard Lock(m_Mutex);
+  Stream &At = m_Streams.at(Number);
+  At.m_WaitsFor.clear();
+  for (const Endpoint *Each : At.m_Path)
+    if (Each->m_Silent)
+      At.m_WaitsFor = Each->address();
+  return !At.m_WaitsFor.empty();
+}
+
 void Estate::run(const std::string &Request,
                  const std::vector<Endpoint *> &Path) {
   ++m_Runs[Request];
@@ -444,16 +508,23 @@
   const std::string Id = header(Request, platform::RequestIdHeader);
   std::vector<Endpoint *> Path;
   std::optional<net::HttpResponse> Refused;
+  int Number = 0;
   {
     const std::lock_guard Lock(m_Mutex);
     Refused = refusal(At, Request, Path);
-    if (!Refused)
+    if (!Refused) {
       run(Id, Path);
+      m_Streams[Number = ++m_NextStream] = {Id, Path, ""};
+    }
   }
   if (Refused) {
     co_await Exchange.respond(std::move(*Refused));
     co_return;
   }
+  const std::shared_ptr<void> AtWork(nullptr, [this, Number](void *) {
+    const std::lock_guard Lock(m_Mutex);
+    m_Streams.erase(Number);
+  });
   const std::string Counts = header(Request, platform::TokenCountHeader);
   const unsigned Most =
       static_cast<unsigned>(std::stoul(Counts.substr(Counts.find(',') + 1)));
@@ -461,23 +532,18 @@
   net::HttpResponse Head{200,
                          {{"Content-Type", "text/event-stream"},
                           {platform::RequestIdHeader, Id},
-                          {platform::SealHeader, At.m_Id}},
+                          {platform::SealHeader, Path.front()->m_Id}},
                          ""};
   co_await Exchange.startStream(std::move(Head));
   for (unsigned I = Last.empty() ? 1 : std::stoul(Last) + 1; I <= Most; ++I) {
     co_await pause(m_Pause.load());
-    std::string Waits;
-    for (const Endpoint *Each : Path)
-      if (Each->m_Silent)
-        Waits = Each->address();
-    if (!Waits.empty()) {
-      {
-        const std::lock_guard Lock(m_Mutex);
-        m_Stalled[Id] = Waits;
+    const auto StalledSince = std::chrono::steady_clock::now();
+    while (stalled(Number)) {
+      if (std::chrono::steady_clock::now() - StalledSince > StallTime) {
+        Exchange.abort();
+        co_return;
       }
-      co_await pause(StallTime);
-      Exchange.abort();
-      co_return;
+      co_await pause(10ms);
     }
     std::string Event = "id: " + std::to_string(I) + "\ndata: token " +
                         std::to_string(I) + "\n\n";
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -54,6 +54,10 @@
   /// The engine answers nothing any more, and what runs through it stands
   /// still.
   void silence(const std::string &Id);
+  /// It answers again, and what stood still goes on.
+  void wake(const std::string &Id);
+  /// Whether engines move running streams to other paths when told to.
+  void setRepairs(bool Allowed) { m_Repairs = Allowed; }
   /// The endpoint says that it leaves; it goes on serving.
   void drain(const std::string &Id);
   /// The next \p Count answers of the endpoint are lost after it ran.
@@ -63,6 +67,10 @@
 
   /// Runs of a request, by its id, over all endpoints.
   int runs(const std::string &Request);
+  /// Streams that engines work on now.
+  int streams();
+  /// Gives the endpoint's address to an instance with another id.
+  void reuseAddress(const std::string &Id, const std::string &FreshId);
   /// Requests that broke what must hold.
   std::vector<std::string> violations();
   /// Layers that the engine holds.
@@ -93,6 +101,11 @@
       return "127.0.0.1:" + std::to_string(m_Server->port());
     }
   };
+  struct Stream {
+    std::string m_Request;
+    std::vector<Endpoint *> m_Path;
+    std::string m_WaitsFor; // address of a silent engine; may be empty
+  };
   using Task = boost::asio::awaitable<void>;
 
   std::unique_ptr<net::HttpServer>
@@ -108,6 +121,12 @@
   Task handleEndpoint(Endpoint &At, net::HttpExchange &Exchange);
   Task stream(Endpoint &At, net::HttpExchange &Exchange);
   net::HttpResponse order(Endpoint &At, const std::string &Body);
+  net::HttpResponse place(Endpoint &At, const boost::json::object &From);
+  net::HttpResponse repath(Endpoint &At, const boost::json::object &From);
+  std::optional<net::HttpResponse> badPart(const Endpoint &At,
+                                           const std::string &Text,
+                                           std::vector<Endpoint *> &Path);
+  bool stalled(int Number);
   net::HttpResponse report(const Endpoint &At);
   std::optional<net::HttpResponse> refusal(const Endpoint &At,
                                            const net::HttpRequest &Request,
@@ -123,7 +142,9 @@
   std::map<std::string, std::unique_ptr<Endpoint>> m_Endpoints;
   std::map<std::string, int> m_Runs;
   std::map<std::string, std::vector<std::string>> m_Paths;
-  std::map<std::string, std::string> m_Stalled; // request to address
+  std::map<int, Stream> m_Streams; // at work
+  int m_NextStream = 0;
+  std::atomic<bool> m_Repairs = true;
   std::vector<std::string> m_Violations;
   boost::json::array m_Routes;
   std::vector<std::string> m_Keys{"key"};
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -20,7 +20,9 @@
 // One router with free ports.
 class Router {
 public:
-  explicit Router(const Estate &Of, const std::string &Name = "r1")
+  explicit Router(const Estate &Of, const std::string &Name = "r1",
+                  const std::string &Retries = "slack = 200\n"
+                                               "window_seconds = 1\n")
       : m_Directory(std::filesystem::temp_directory_path() /
                     ("forward-" + std::to_string(getpid()) + "-" + Name)) {
     std::filesystem::create_directories(m_Directory);
@@ -33,8 +35,8 @@
                             << "peers = \"127.0.0.1:1\"\n"
                             << "stop_within_seconds = 8\n"
                             << "[store]\naddress = \"" << Of.store() << "\"\n"
-                            << "[retries]\nslack = 200\n"
-                            << "window_seconds = 1\n"
+                            << "[retries]\n"
+                            << Retries
                             << "[log]\nform = \"json\"\n";
     m_Process = std::make_unique<harness::Process>(
         Name,
@@ -158,6 +160,90 @@
   CHECK(Platform.violations().empty());
 }
 
+TEST_CASE("an engine falls silent in the middle of streams: they go on over "
+          "other engines and are not sent again") {
+  Estate Platform;
+  fill(Platform);
+  Platform.setEventPause(30ms);
+  Router At(Platform);
+  waitServing(At);
+  std::vector<std::unique_ptr<harness::EventStream>> Streams;
+  for (int I = 0; I < 8; ++I) {
+    Streams.push_back(std::make_unique<harness::EventStream>(
+        At.callers(), "/guide/seat",
+        headers("s" + std::to_string(I), "key", 60), "x"));
+    REQUIRE(Streams.back()->next());
+  }
+  const auto Path = Platform.pathOf("s0");
+  REQUIRE(Path.size() > 1);
+  Platform.silence(Path.back());
+  for (std::size_t I = 0; I < Streams.size(); ++I) {
+    CHECK(readOrdered(*Streams[I], 1) == 60);
+    CHECK(Streams[I]->whole());
+    CHECK(Platform.runs("s" + std::to_string(I)) == 1);
+  }
+  CHECK(Platform.violations().empty());
+}
+
+TEST_CASE("many streams stand still and one retry is left: the others wait, and "
+          "go on when the engine does") {
+  Estate Platform;
+  fill(Platform);
+  Platform.setEventPause(30ms);
+  Platform.setRepairs(false);
+  Router At(Platform, "r1", "slack = 2\nfraction = 0\nwindow_seconds = 2\n");
+  waitServing(At);
+  std::this_thread::sleep_for(2200ms); // the budget grows for one window
+  std::vector<std::unique_ptr<harness::EventStream>> Streams;
+  for (int I = 0; I < 12; ++I) {
+    Streams.push_back(std::make_unique<harness::EventStream>(
+        At.callers(), "/guide/seat",
+        headers("s" + std::to_string(I), "key", 60), "x"));
+    REQUIRE(Streams.back()->next());
+  }
+  const auto Path = Platform.pathOf("s0");
+  REQUIRE(Path.size() > 1);
+  Platform.silence(Path.back());
+  std::this_thread::sleep_for(900ms);
+  Platform.wake(Path.back());
+  for (auto &Each : Streams) {
+    CHECK(readOrdered(*Each, 1) == 60);
+    CHECK(Each->whole());
+  }
+  CHECK(Platform.violations().empty());
+}
+
+TEST_CASE("a caller leaves: the engines stop working for it") {
+  Estate Platform;
+  fill(Platform);
+  Platform.setEventPause(30ms);
+  Router At(Platform);
+  waitServing(At);
+  {
+    harness::EventStream Stream(At.callers(), "/guide/seat",
+                                headers("s1", "key", 400), "x");
+    REQUIRE(Stream.next());
+    CHECK(Platform.streams() >= 1);
+  }
+  CHECK(harness::eventually([&] { return Platform.streams() == 0; }, 3s));
+}
+
+TEST_CASE("an address is used again by another instance: it runs nothing that "
+          "is meant for the one before") {
+  Estate Platform;
+  fill(Platform);
+  Router At(Platform);
+  waitServing(At);
+  Platform.reuseAddress("b1", "other");
+  for (int I = 0; I < 8; ++I) {
+    const std::string Id = "u" + std::to_string(I);
+    CHECK(harness::http("GET", At.callers(), "/look/a", headers(Id)).m_Status ==
+          200);
+    CHECK(Platform.runs(Id) == 1);
+    CHECK(Platform.pathOf(Id) == std::vector<std::string>{"b2"});
+  }
+}
+
 TEST_CASE("an answer is lost: what may not be repeated ran once and is not "
           "called \"not run\"") {
   Estate Platform;
--- /dev/null
+++ b/tests/unit/path_repair_test.cpp
@@ -0,0 +1,170 @@
+// What becomes of running streams whose engines are lost.
+#include "decide/path_repair.h"
+#include "decide/pause_policy.h"
+
+#include <doctest/doctest.h>
+
+using namespace mimosadale;
+using namespace mimosadale::decide;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant T0{std::chrono::seconds(1000)};
+const ServiceId Llm("llm");
+
+EngineModel model() {
+  EngineModel Of;
+  Of.m_Layers = 80;
+  Of.m_LayerMb = 1750;
+  Of.m_KvBytesPerToken = 590000;
+  Of.m_FirstStageSlots = 192;
+  Of.m_Kinds = {{"a100s", {36000, 3.1, 3.2}}, {"l4", {21600, 16, 8.2}}};
+  return Of;
+}
+
+void add(Fleet &To, const std::string &Name, const std::string &Kind,
+         LayerRange Held) {
+  EndpointRecord Record;
+  Record.m_Id = EndpointId(Name);
+  Record.m_Service = Llm;
+  Record.m_Address =
+      "192.0.2.1:" + std::to_string(1000 + To.all().size());
+  Record.m_DataCentre = DataCentreId("dc");
+  Record.m_Accelerator = Kind;
+  Record.m_Layers = Held;
+  To.put(Record, T0);
+}
+
+// A chain of 4 a100s, a0 to a3, and one of 8 l4, b0 to b7.
+Fleet twoChains() {
+  Fleet Made;
+  for (std::uint32_t I = 0; I < 4; ++I)
+    add(Made, "a" + std::to_string(I), "a100s", {20 * I, 20 * I + 20});
+  for (std::uint32_t I = 0; I < 8; ++I)
+    add(Made, "b" + std::to_string(I), "l4", {10 * I, 10 * I + 10});
+  return Made;
+}
+
+Path firstChain() {
+  Path Of;
+  for (std::uint32_t I = 0; I < 4; ++I)
+    Of.push_back(
+        {EndpointId("a" + std::to_string(I)), {20 * I, 20 * I + 20}});
+  return Of;
+}
+
+Path repair(const Fleet &Engines, const EndpointSet &Lost,
+            const EndpointSet &Unfit = {}, double Tokens = 1000) {
+  ChainRouter Chains;
+  Chains.rebuild(Engines, Llm, model());
+  return repairPath(Engines, Chains, firstChain(), Lost, Unfit, Tokens);
+}
+
+bool has(const Path &Of, const std::string &Engine) {
+  for (const StagePlan &Each : Of)
+    if (Each.m_Endpoint.str() == Engine)
+      return true;
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("lost chain: its streams go on over engines of the other one") {
+  Fleet Engines = twoChains();
+  Engines.suspect(EndpointId("a1"), "test", T0);
+  const Path Fresh = repair(Engines, {EndpointId("a1")});
+  REQUIRE(tilesExactly(Fresh, 80));
+  CHECK(Fresh.front().m_Endpoint.str() == "a0");
+  CHECK(has(Fresh, "b2"));
+  CHECK(has(Fresh, "b3"));
+  CHECK_FALSE(has(Fresh, "a1"));
+  CHECK(Fresh.size() == 5);
+}
+
+TEST_CASE("any set of lost engines: each layer once, no engine twice, or none") {
+  const Fleet Whole = twoChains();
+  std::vector<EndpointId> Names;
+  for (const auto &[Id, Known] : Whole.all())
+    Names.push_back(Id);
+  unsigned Repaired = 0;
+  for (unsigned Mask = 1; Mask < 1u << Names.size(); ++Mask) {
+    Fleet Engines = twoChains();
+    EndpointSet Lost;
+    for (std::size_t I = 0; I < Names.size(); ++I)
+      if (Mask >> I & 1) {
+        Engines.suspect(Names[I], "test", T0);
+        Lost.insert(Names[I]);
+      }
+    const Path Fresh = repair(Engines, Lost);
+    if (Fresh.empty())
+      continue;
+    ++Repaired;
+    bool Sound = tilesExactly(Fresh, 80) &&
+                 Fresh.front().m_Endpoint.str() == "a0";
+    EndpointSet Seen;
+    for (const StagePlan &Each : Fresh)
+      Sound = Sound && !Lost.contains(Each.m_Endpoint) &&
+              Seen.insert(Each.m_Endpoint).second;
+    REQUIRE(Sound);
+  }
+  // a0 stands, and for each of a1 to a3 both engines beside it or itself:
+  // (2^2 + 1)^3 ways, times the 4 states of b0 and b1, less the whole path.
+  CHECK(Repaired == 4 * 125 - 1);
+}
+
+TEST_CASE("a path is not repaired with engines that are full, unfit, leaving, "
+          "or too small") {
+  Fleet Engines = twoChains();
+  const EndpointSet Lost{EndpointId("a1")};
+  CHECK(repair(Engines, Lost, {EndpointId("b2")}).empty());
+  CHECK(repair(Engines, Lost, {}, 1e9).empty());
+  EngineLoadReport Full;
+  Full.m_KvTotal = 1000;
+  Full.m_KvUsed = 1000;
+  Engines.onReport(EndpointId("b3"), Full, T0);
+  CHECK(repair(Engines, Lost).empty());
+  CHECK(repair(Engines, {EndpointId("a0")}).empty());
+}
+
+TEST_CASE("a pause: over all facts, silence alone ends nothing") {
+  for (const auto Pause : {0ms, 101ms, 126ms, 251ms, 700ms, 1301ms, 3000ms})
+    for (unsigned Bits = 0; Bits < 1u << 7; ++Bits) {
+      PauseFacts Facts;
+      Facts.m_Pause = Pause;
+      Facts.m_FirstWithin = 500ms;
+      Facts.m_EventSeen = Bits & 1;
+      Facts.m_FirstLost = Bits & 2;
+      Facts.m_PathLost = Bits & 4;
+      Facts.m_PathLeaves = Bits & 8;
+      Facts.m_Repairing = Bits & 16;
+      Facts.m_MayRepair = Bits & 32;
+      Facts.m_MayMove = Bits & 64;
+      CAPTURE(Bits);
+      CAPTURE(Pause.count());
+      const PauseStep Step = stepFor(Facts);
+      if (Step == PauseStep::Move) {
+        CHECK(Facts.m_MayMove);
+        CHECK((Facts.m_FirstLost || Facts.m_PathLost || Pause > 1300ms));
+        CHECK(Pause > 250ms);
+      }
+      if (Step == PauseStep::Repair) {
+        CHECK(Facts.m_MayRepair);
+        CHECK_FALSE(Facts.m_Repairing);
+        CHECK_FALSE(Facts.m_FirstLost);
+        CHECK((Facts.m_PathLost || Facts.m_PathLeaves));
+      }
+      if (Pause == 0ms && !Facts.m_PathLeaves)
+        CHECK(Step == PauseStep::Wait);
+    }
+}
+
+TEST_CASE("a lost engine in a stream is answered before its pause is late") {
+  PauseFacts Facts;
+  Facts.m_EventSeen = true;
+  Facts.m_MayRepair = true;
+  Facts.m_Pause = 126ms;
+  CHECK(stepFor(Facts) == PauseStep::AskPath);
+  Facts.m_PathLost = true;
+  CHECK(stepFor(Facts) == PauseStep::Repair);
+}
