--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -92,8 +92,6 @@
     const std::size_t Wanted =
         std::max<std::size_t>(1, chainCount(m_All, m_Model));
     const std::vector<Path> Chains = disjointTilings(Left, m_Model.m_Layers);
-    for (const Path &Each : Chains)
-      resolveOverlaps(Each);
     if (Chains.size() < Wanted) {
       std::vector<StagePlan> Serving = Left;
       Serving.insert(Serving.end(), m_Leaving.begin(), m_Leaving.end());
@@ -102,11 +100,12 @@
       m_EnoughFree = fewestStages(Serving, m_Model.m_Layers).empty()
                          ? GapFree
                          : LeavingGapFree;
-      fillGaps(Left, Wanted - Chains.size());
+      fillGap(Left);
       return m_Orders;
     }
-    if (!m_Orders.empty())
-      return m_Orders;
+    for (const Path &Each : Chains)
+      if (resolveOverlap(Each))
+        return m_Orders;
     // Engines that no chain uses are as good as idle.
     std::vector<EndpointId> Idle;
     for (const Member &Each : m_All)
@@ -116,9 +115,8 @@
       Idle.push_back(Each.m_Endpoint);
     if (!Idle.empty())
       useIdle(Chains, Idle.front());
-    if (m_Orders.empty())
-      for (const Path &Each : Chains)
-        balance(Each);
+    else
+      balance(Chains);
     return m_Orders;
   }
 
@@ -173,96 +171,41 @@
     return Least;
   }
 
-  // Deals the engines \p Left, which no whole chain uses, to \p Count chains
-  // with gaps and fills the gaps of each.
-  void fillGaps(const std::vector<StagePlan> &Left, std::size_t Count) {
+  // Fills the first gap in what the engines \p Left hold together.
+  void fillGap(const std::vector<StagePlan> &Left) {
     Members Holders;
-    Members Idle;
     for (const StagePlan &Each : Left)
       Holders.push_back(member(Each.m_Endpoint));
-    for (const Member &Each : m_All)
-      if (Each.layers() == 0)
-        Idle.push_back(Each);
-    std::stable_sort(
+    std::sort(
         Holders.begin(), Holders.end(),
         [](const Member &A, const Member &B) { return A.m_Held < B.m_Held; });
-    std::vector<Members> Chains(Count);
-    for (const Member &Each : Holders)
-      if (Members *To = bestChain(Chains, Each))
-        To->push_back(Each);
-      else
-        Idle.push_back(Each); // others hold all that it holds
-    // The idle engines, largest first, to the chain with the least memory.
-    std::stable_sort(Idle.begin(), Idle.end(),
-                     [](const Member &A, const Member &B) {
-                       return A.m_MemoryMb > B.m_MemoryMb;
-                     });
-    std::vector<Members> IdleOf(Count);
-    for (const Member &Each : Idle) {
-      std::size_t Least = 0;
-      for (std::size_t I = 1; I < Count; ++I)
-        if (memory(Chains[I]) + memory(IdleOf[I]) <
-            memory(Chains[Least]) + memory(IdleOf[Least]))
-          Least = I;
-      IdleOf[Least].push_back(Each);
-    }
-    for (std::size_t I = 0; I < Count; ++I)
-      fillGap(Chains[I], std::move(IdleOf[I]));
-  }
-
-  static double memory(const Members &Of) {
-    double Sum = 0;
-    for (const Member &Each : Of)
-      Sum += Each.m_MemoryMb;
-    return Sum;
-  }
-
-  // The chain whose end \p Next goes on from the most closely, or null when it
-  // makes none of them longer.
-  static Members *bestChain(std::vector<Members> &Chains, const Member &Next) {
-    Members *Best = nullptr;
-    std::uint32_t BestMisfit = 0;
-    for (Members &Each : Chains) {
-      const std::uint32_t End = Each.empty() ? 0 : Each.back().m_Held.m_End;
-      if (Next.m_Held.m_End <= End)
-        continue;
-      const std::uint32_t Misfit = End > Next.m_Held.m_First
-                                       ? End - Next.m_Held.m_First
-                                       : Next.m_Held.m_First - End;
-      if (!Best || Misfit < BestMisfit) {
-        Best = &Each;
-        BestMisfit = Misfit;
-      }
-    }
-    return Best;
-  }
-
-  // Fills the gaps of \p Chain, whose engines stand in the order of their
-  // layers, with the help of \p Idle.
-  void fillGap(const Members &Chain, Members Idle) {
-    std::optional<LayerRange> Gap; // from the first one to the last one
+    // Without what others of the chain hold as well, each layer has one holder.
+    Members Chain;
     std::uint32_t Covered = 0;
-    const auto Note = [&](std::uint32_t From, std::uint32_t End) {
-      if (From < End)
-        Gap = LayerRange{Gap ? Gap->m_First : From, End};
-    };
-    for (const Member &Each : Chain) {
-      Note(Covered, Each.m_Held.m_First);
-      Covered = std::max(Covered, Each.m_Held.m_End);
+    std::optional<LayerRange> Gap;
+    for (const Member &Each : Holders) {
+      if (Each.m_Held.m_End <= Covered)
+        continue;
+      if (Each.m_Held.m_First > Covered && !Gap)
+        Gap = LayerRange{Covered, Each.m_Held.m_First};
+      Chain.push_back(Each);
+      Covered = Each.m_Held.m_End;
     }
-    Note(Covered, m_Model.m_Layers);
+    if (!Gap && Covered < m_Model.m_Layers)
+      Gap = LayerRange{Covered, m_Model.m_Layers};
     if (!Gap)
       return;
-    const auto After = [&](std::uint32_t Layer) {
-      return static_cast<std::size_t>(
-          std::find_if(Chain.begin(), Chain.end(),
-                       [&](const Member &Each) {
-                         return Each.m_Held.m_First >= Layer;
-                       }) -
-          Chain.begin());
-    };
-    fillFromWindow(Chain, *Gap, After(Gap->m_First), After(Gap->m_End),
-                   std::move(Idle));
+    const auto Right =
+        std::find_if(Chain.begin(), Chain.end(), [&](const Member &Each) {
+          return Each.m_Held.m_First >= Gap->m_End;
+        });
+    std::size_t First = static_cast<std::size_t>(Right - Chain.begin());
+    std::size_t Last = First;
+    Members Idle;
+    for (const Member &Each : m_All)
+      if (Each.layers() == 0)
+        Idle.push_back(Each);
+    fillFromWindow(Chain, *Gap, First, Last, std::move(Idle));
   }
 
   // Widens the window [First, Last) of the chain around the gap until its
@@ -298,26 +241,11 @@
       Last += Last < Chain.size() ? 1 : 0;
     }
     for (std::size_t I = 0; I < BestRanges.size(); ++I)
-      order(BestEngines[I].m_Id, withHeld(BestEngines[I], BestRanges[I]));
-  }
-
-  // \p Wanted with all that the engine holds, if it has the memory: layers are
-  // added at once, but given up only when no request passes through them any
-  // more. What it need not hold is given up once the chain is whole.
-  LayerRange withHeld(const Member &Engine, LayerRange Wanted) const {
-    const LayerRange Held = Engine.m_Held;
-    if (Engine.layers() == 0 || Wanted.m_First > Held.m_End ||
-        Held.m_First > Wanted.m_End || Wanted.m_First >= Wanted.m_End)
-      return Wanted;
-    const LayerRange Both{std::min(Held.m_First, Wanted.m_First),
-                          std::max(Held.m_End, Wanted.m_End)};
-    const bool Fits =
-        freePart(Engine, Both.m_End - Both.m_First) >= LeastFree;
-    return Fits ? Both : Wanted;
+      order(BestEngines[I].m_Id, BestRanges[I]);
   }
 
-  // Neighbours that hold the same layers: each keeps a part, by memory.
-  void resolveOverlaps(const Path &Chain) {
+  // Two neighbours that hold the same layers: each keeps a part, by memory.
+  bool resolveOverlap(const Path &Chain) {
     for (std::size_t I = 0; I + 1 < Chain.size(); ++I) {
       const Member &Left = member(Chain[I].m_Endpoint);
       const Member &Right = member(Chain[I + 1].m_Endpoint);
@@ -333,31 +261,27 @@
           std::clamp(Ranges[0].m_End, Right.m_Held.m_First, Left.m_Held.m_End);
       order(Left.m_Id, {Left.m_Held.m_First, Cut});
       order(Right.m_Id, {Cut, Right.m_Held.m_End});
-      ++I; // the next pair has an engine of this one
+      return true;
     }
+    return false;
   }
 
-  const Member *tightestOf(const Path &Chain) {
+  const Member *tightestOf(const std::vector<Path> &Chains) {
     const Member *Found = nullptr;
-    for (const StagePlan &Each : Chain) {
-      const Member &One = member(Each.m_Endpoint);
-      if (!Found ||
-          freePart(One, One.layers()) < freePart(*Found, Found->layers()))
-        Found = &One;
-    }
+    for (const Path &Chain : Chains)
+      for (const StagePlan &Each : Chain) {
+        const Member &One = member(Each.m_Endpoint);
+        if (!Found ||
+            freePart(One, One.layers()) < freePart(*Found, Found->layers()))
+          Found = &One;
+      }
     return Found;
   }
 
   // An idle engine takes the upper part of the tightest one's layers; that one
   // gives them up in the next plan.
   void useIdle(const std::vector<Path> &Chains, const EndpointId &Idle) {
-    const Member *Tightest = nullptr;
-    for (const Path &Each : Chains)
-      if (const Member *One = tightestOf(Each);
-          !Tightest || freePart(*One, One->layers()) <
-                           freePart(*Tightest, Tightest->layers()))
-        Tightest = One;
-    const Member &Tight = *Tightest;
+    const Member &Tight = *tightestOf(Chains);
     const Member &Taker = member(Idle);
     // It already holds a part of the tight one's layers: that one gives it up.
     if (Taker.layers() > 0 && Taker.m_Held.m_End == Tight.m_Held.m_End &&
@@ -375,25 +299,27 @@
 
   // The tightest engine's neighbour with more room takes layers from its edge;
   // the overlap is resolved in the next plan.
-  void balance(const Path &Chain) {
-    const Member &Tight = *tightestOf(Chain);
-    if (freePart(Tight, Tight.layers()) > TightFree)
-      return;
-    for (std::size_t I = 0; I < Chain.size(); ++I) {
-      if (Chain[I].m_Endpoint != Tight.m_Id)
-        continue;
-      const Member *Best = nullptr;
-      for (const std::size_t J : {I - 1, I + 1})
-        if (J < Chain.size()) {
-          const Member &Each = member(Chain[J].m_Endpoint);
-          if (!Best ||
-              freePart(Each, Each.layers()) > freePart(*Best, Best->layers()))
-            Best = &Each;
-        }
-      if (Best)
-        widenInto(*Best, Tight);
+  void balance(const std::vector<Path> &Chains) {
+    const Member &Tight = *tightestOf(Chains);
+    const double Free = freePart(Tight, Tight.layers());
+    if (Free > TightFree)
       return;
-    }
+    for (const Path &Chain : Chains)
+      for (std::size_t I = 0; I < Chain.size(); ++I) {
+        if (Chain[I].m_Endpoint != Tight.m_Id)
+          continue;
+        const Member *Best = nullptr;
+        for (const std::size_t J : {I - 1, I + 1})
+          if (J < Chain.size()) {
+            const Member &Each = member(Chain[J].m_Endpoint);
+            if (!Best ||
+                freePart(Each, Each.layers()) > freePart(*Best, Best->layers()))
+              Best = &Each;
+          }
+        if (Best)
+          widenInto(*Best, Tight);
+        return;
+      }
   }
 
   void widenInto(const Member &Roomy, const Member &Tight) {
--- a/packages/decide/tiling.cpp
+++ b/packages/decide/tiling.cpp
@@ -68,45 +68,11 @@
   return cheapest(Offers, Layers);
 }
 
-// The tiling with the fewest stages in which each engine runs all that it
-// holds.
-Path exactTiling(const std::vector<StagePlan> &Held, std::uint32_t Layers) {
-  std::vector<unsigned> Stages(Layers + 1, 0);
-  std::vector<const StagePlan *> Last(Layers + 1, nullptr);
-  std::vector<const StagePlan *> Sorted;
-  for (const StagePlan &Each : Held)
-    if (Each.m_Layers.m_First < Each.m_Layers.m_End &&
-        Each.m_Layers.m_End <= Layers)
-      Sorted.push_back(&Each);
-  std::stable_sort(Sorted.begin(), Sorted.end(), [](auto *A, auto *B) {
-    return A->m_Layers.m_First < B->m_Layers.m_First;
-  });
-  for (const StagePlan *Each : Sorted) {
-    const LayerRange Range = Each->m_Layers;
-    if (Range.m_First > 0 && !Last[Range.m_First])
-      continue;
-    const unsigned Count = Stages[Range.m_First] + 1;
-    if (Last[Range.m_End] && Count >= Stages[Range.m_End])
-      continue;
-    Stages[Range.m_End] = Count;
-    Last[Range.m_End] = Each;
-  }
-  Path Found;
-  if (!Last[Layers])
-    return Found;
-  for (std::uint32_t At = Layers; At > 0; At = Found.back().m_Layers.m_First)
-    Found.push_back(*Last[At]);
-  std::reverse(Found.begin(), Found.end());
-  return Found;
-}
-
 std::vector<Path> disjointTilings(std::vector<StagePlan> &Held,
                                   std::uint32_t Layers) {
   std::vector<Path> Found;
   while (true) {
-    Path Stages = exactTiling(Held, Layers);
-    if (Stages.empty())
-      Stages = fewestStages(Held, Layers);
+    Path Stages = fewestStages(Held, Layers);
     if (Stages.empty())
       return Found;
     std::erase_if(Held, [&](const StagePlan &Each) {
--- a/packages/decide/tiling.h
+++ b/packages/decide/tiling.h
@@ -18,8 +18,7 @@
                 const std::vector<StagePlan> &Lent, std::uint32_t Layers);
 
 /// As many tilings as can be found one after the other without using an engine
-/// twice; first those in which each engine runs all that it holds, so that
-/// chains stay apart. \p Held is left with the engines that none of them uses. Safe from
+/// twice. \p Held is left with the engines that none of them uses. Safe from
 /// any thread.
 std::vector<Path> disjointTilings(std::vector<StagePlan> &Held,
                                   std::uint32_t Layers);
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -24,7 +24,7 @@
 // first one and as another of their path, while it is distrusted, and for its
 // load.
 constexpr Duration OverdueInterval = std::chrono::milliseconds(150);
-constexpr Duration OverduePathInterval = std::chrono::milliseconds(500);
+constexpr Duration OverduePathInterval = std::chrono::milliseconds(1000);
 constexpr Duration SuspectInterval = std::chrono::milliseconds(500);
 constexpr Duration LoadInterval = std::chrono::milliseconds(800);
 
