--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -43,7 +43,7 @@
 constexpr Duration RefusalOfLost = std::chrono::milliseconds(900);
 
 // Orders to change the path of one send, and the time that one may take.
-constexpr unsigned MostRepairs = 1;
+constexpr unsigned MostRepairs = 2;
 constexpr Duration RepairTimeout = std::chrono::milliseconds(400);
 
 // Whole answers longer than this are not taken in one piece.
@@ -271,6 +271,7 @@
   m_EventSeen = false;
   m_Repairing = false;
   m_Repairs = 0;
+  m_Unfit.clear();
   m_Events.dropPartial();
   m_SentAt = m_LastProgress = ForwardState::now();
   m_Waiting = true;
@@ -529,7 +530,8 @@
   decide::EndpointSet Lost;
   for (const decide::StagePlan &Each : m_Target.m_Path) {
     const auto *Known = m_Shared.m_Fleet.find(Each.m_Endpoint);
-    if (!Known || Known->m_Suspect || Known->m_LeavingOver)
+    if (!Known || Known->m_Suspect || Known->m_LeavingOver ||
+        m_Unfit.contains(Each.m_Endpoint))
       Lost.insert(Each.m_Endpoint);
   }
   return Lost;
