--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -88,6 +88,10 @@
                                  [this](net::HttpExchange &Exchange) {
                                    return servePage(Exchange);
                                  })),
+        m_Peers(makeServer(m_Shared.m_Settings.peers(),
+                           [this](net::HttpExchange &Exchange) {
+                             return servePeer(Exchange);
+                           })),
         m_Signals(m_Io, SIGTERM, SIGINT, SIGHUP) {}
 
   int run() {
@@ -95,6 +99,7 @@
     m_Callers->start();
     m_Readiness->start();
     m_MetricsPage->start();
+    m_Peers->start();
     spawn(m_Watch.followConfig());
     spawn(m_Watch.followRegistry());
     spawn(m_Watch.followRouters());
@@ -157,6 +162,16 @@
     co_await Exchange.respond(std::move(Response));
   }
 
+  asio::awaitable<void> servePeer(net::HttpExchange &Exchange) {
+    const auto Query = platform::decodeQuery(Exchange.request().m_Target);
+    net::HttpResponse Response = page(404, "allowed: questions for rows\n");
+    if (Query) {
+      platform::RowsQuery Asked = *Query;
+      Response = co_await m_Watch.answer(std::move(Asked));
+    }
+    co_await Exchange.respond(std::move(Response));
+  }
+
   void onConfig() {
     const auto &Config = m_Shared.m_Routes.current()->config();
     m_Callers->setLimits(limitsOf(Config.m_Limits));
@@ -226,6 +241,7 @@
   std::unique_ptr<net::HttpServer> m_Callers;
   std::unique_ptr<net::HttpServer> m_Readiness;
   std::unique_ptr<net::HttpServer> m_MetricsPage;
+  std::unique_ptr<net::HttpServer> m_Peers;
   asio::signal_set m_Signals;
 };
 
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -2,8 +2,8 @@
 
 #include "forward/engine_client.h"
 #include "platform/endpoint_codec.h"
-#include "platform/lease_codec.h"
 #include "platform/names.h"
+#include "platform/own_rows_codec.h"
 #include "router/log.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -7,6 +7,7 @@
 #include "router/log.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -16,9 +17,13 @@
 
 namespace {
 
-// How long one call of a feed waits for a change: below the store's limit of
-// 30 s. That the connection still works is the keep-alive's matter.
-constexpr Duration FeedWait = std::chrono::seconds(20);
+// Time beyond its wait that an answer of the store, and of a router of this
+// data centre, may take.
+constexpr Duration StoreSlack = std::chrono::seconds(1);
+constexpr Duration PeerSlack = std::chrono::milliseconds(300);
+
+// Longest wait that another router is granted.
+constexpr Duration LongestPeerWait = std::chrono::seconds(1);
 
 // Pauses between calls of a feed while changes come: shorter than the time in
 // which a change must be in force, long enough to take several at once.
@@ -45,11 +50,10 @@
 }
 
 // The place of \p Self in the order in which routers take the lease for orders.
-std::size_t rankOf(const std::set<std::string> &Names,
+std::size_t rankOf(const std::vector<std::string> &Names,
                    const std::string &Self) {
-  const auto First = decide::chooseMembers(
-      std::vector<std::string>(Names.begin(), Names.end()), "orders",
-      ForwardState::OrderRanks);
+  const auto First =
+      decide::chooseMembers(Names, "orders", ForwardState::OrderRanks);
   return static_cast<std::size_t>(std::find(First.begin(), First.end(), Self) -
                                   First.begin());
 }
@@ -57,103 +61,218 @@
 } // namespace
 
 StoreWatch::StoreWatch(ForwardState &Shared, std::function<void()> OnConfig)
-    : m_Shared(Shared), m_OnConfig(std::move(OnConfig)) {}
-
-asio::awaitable<void> StoreWatch::followConfig() {
-  Apply Take = [this](const platform::Rows &Changes, bool) {
+    : m_Shared(Shared), m_OnConfig(std::move(OnConfig)) {
+  m_Config.m_Name = platform::OperatorTable;
+  m_Config.m_FromRouters = true;
+  m_Config.m_Pause = [] { return ConfigPause; };
+  m_Config.m_Take = [this](const platform::Rows &Changes, bool) {
     takeConfig(Changes);
   };
-  Feed From{platform::OperatorTable, FeedWait, [] { return ConfigPause; }};
-  co_await follow(std::move(From), std::move(Take));
+  m_Registry.m_Name = platform::RegistryTable;
+  m_Registry.m_FromRouters = true;
+  m_Registry.m_Pause = [this] { return registryPause(); };
+  m_Registry.m_Take = [this](const platform::Rows &Changes, bool Whole) {
+    takeRegistry(Changes, Whole);
+  };
+  m_RouterRows.m_Name = platform::RoutersTable;
+  m_RouterRows.m_Pause = [] { return RegisterPause; };
+  m_RouterRows.m_Take = [this](const platform::Rows &Changes, bool Whole) {
+    takeRouters(Changes, Whole);
+  };
+}
+
+// Without a reader in between, all routers read the registry themselves, the
+// less often the more they are.
+Duration StoreWatch::registryPause() const {
+  if (!m_Shared.m_RoutersRead || !m_Reader.empty())
+    return RegistryPause;
+  return std::clamp(RegistryPausePerRouter *
+                        static_cast<int>(m_Shared.m_Routers),
+                    RegistryPause, LongestRegistryPause);
 }
 
+asio::awaitable<void> StoreWatch::followConfig() { co_await follow(m_Config); }
+
 asio::awaitable<void> StoreWatch::followRegistry() {
-  Apply Take = [this](const platform::Rows &Changes, bool Whole) {
-    takeRegistry(Changes, Whole);
-  };
-  Feed From{platform::RegistryTable, FeedWait, [this] {
-              const Duration Grown =
-                  RegistryPausePerRouter * static_cast<int>(m_Shared.m_Routers);
-              return m_Shared.m_RoutersRead ? std::clamp(Grown, RegistryPause,
-                                                         LongestRegistryPause)
-                                            : RegistryPause;
-            }};
-  co_await follow(std::move(From), std::move(Take));
+  co_await follow(m_Registry);
 }
 
 asio::awaitable<void> StoreWatch::followRouters() {
-  while (!co_await registerSelf())
-    co_await pause(m_Shared.m_Io, RegisterPause);
-  Apply Take = [this](const platform::Rows &Changes, bool Whole) {
-    takeRouters(Changes, Whole);
-  };
-  Feed From{platform::RoutersTable, FeedWait, [] { return RegisterPause; }};
-  co_await follow(std::move(From), std::move(Take));
+  const std::string Row = ownRow();
+  bool Registered = false;
+  while (!Registered) {
+    Registered = co_await registerSelf(Row);
+    if (!Registered)
+      co_await pause(m_Shared.m_Io, RegisterPause);
+  }
+  co_await follow(m_RouterRows);
+}
+
+std::string StoreWatch::ownRow() const {
+  platform::RouterPlace Self;
+  Self.m_Peers = m_Shared.m_Settings.peers();
+  Self.m_DataCentre = DataCentreId(m_Shared.m_Settings.data_centre());
+  return platform::encodeRouter(Self);
 }
 
 // A row that is there already, from before a restart, will do.
-asio::awaitable<bool> StoreWatch::registerSelf() {
+asio::awaitable<bool> StoreWatch::registerSelf(std::string Value) {
   const platform::WriteResult Result = co_await m_Shared.m_Store.write(
-      platform::RoutersTable, m_Shared.m_Settings.name(),
-      m_Shared.m_Settings.peers(), 0);
-  co_return Result.m_Kind == platform::WriteResult::Kind::Done ||
-      Result.m_Kind == platform::WriteResult::Kind::Conflict;
+      platform::RoutersTable, m_Shared.m_Settings.name(), std::move(Value), 0);
+  const auto Kind = Result.m_Kind;
+  co_return Kind == platform::WriteResult::Kind::Done ||
+      Kind == platform::WriteResult::Kind::Conflict;
 }
 
 // Routers that are gone keep their rows: the parts of those that are there only
 // get smaller by that.
 void StoreWatch::takeRouters(const platform::Rows &Changes, bool Whole) {
   if (Whole)
-    m_RouterNames.clear();
-  for (const platform::Row &Each : Changes.m_Rows)
+    m_Routers.clear();
+  for (const platform::Row &Each : Changes.m_Rows) {
+    m_Routers.erase(Each.m_Key);
     if (Each.m_Dropped)
-      m_RouterNames.erase(Each.m_Key);
-    else
-      m_RouterNames.insert(Each.m_Key);
-  m_RouterNames.insert(m_Shared.m_Settings.name());
-  m_Shared.m_Routers = m_RouterNames.size();
+      continue;
+    try {
+      m_Routers[Each.m_Key] = platform::decodeRouter(Each.m_Value);
+    } catch (const Error &Wrong) {
+      router::logEvent(schema::WARN, "router_row_unreadable",
+                       {{"router", Each.m_Key}, {"detail", Wrong.what()}});
+    }
+  }
+  const std::string &Self = m_Shared.m_Settings.name();
+  m_Routers[Self] = {m_Shared.m_Settings.peers(),
+                     DataCentreId(m_Shared.m_Settings.data_centre())};
+  std::vector<std::string> All;
+  std::vector<std::string> Here;
+  for (const auto &[Name, Place] : m_Routers) {
+    All.push_back(Name);
+    if (Place.m_DataCentre.str() == m_Shared.m_Settings.data_centre())
+      Here.push_back(Name);
+  }
+  m_Reader = decide::chooseMembers(Here, "reader", 1).front();
+  m_Shared.m_Routers = m_Routers.size();
   m_Shared.m_RoutersRead = true;
-  m_Shared.m_OrderRank = rankOf(m_RouterNames, m_Shared.m_Settings.name());
-  m_Shared.m_Metrics.gauge("routers",
-                           static_cast<double>(m_RouterNames.size()));
+  m_Shared.m_OrderRank = rankOf(All, Self);
+  m_Config.m_Source.onRouters(All.size(), m_Reader == Self);
+  m_Registry.m_Source.onRouters(All.size(), m_Reader == Self);
+  m_Shared.m_Metrics.gauge("routers", static_cast<double>(All.size()));
+}
+
+// The router to read from: the reader of this data centre, or any one while the
+// store fails.
+std::optional<net::Address> StoreWatch::peerFor(bool StoreFails) {
+  std::vector<const platform::RouterPlace *> Others;
+  for (const auto &[Name, Place] : m_Routers)
+    if (Name != m_Shared.m_Settings.name() && (StoreFails || Name == m_Reader))
+      Others.push_back(&Place);
+  if (Others.empty())
+    return std::nullopt;
+  std::uniform_int_distribution<std::size_t> Draw(0, Others.size() - 1);
+  return net::parseAddress(Others[Draw(m_Shared.m_Random)]->m_Peers);
+}
+
+asio::awaitable<platform::Rows> StoreWatch::readOnce(Table &Of, bool Whole,
+                                                     decide::RowSource From) {
+  const std::uint64_t After = Of.m_Cache.version();
+  const Duration Wait = Of.m_Source.wait(From);
+  if (From == decide::RowSource::Store) {
+    m_Shared.m_Metrics.counted("store_call");
+    if (Whole)
+      co_return co_await m_Shared.m_Store.readTable(Of.m_Name);
+    co_return co_await m_Shared.m_Store.feed(Of.m_Name, After, Wait,
+                                             StoreSlack);
+  }
+  const auto Peer = peerFor(Of.m_Source.storeFails());
+  if (!Peer)
+    throw platform::StoreCallError("no other router is known");
+  m_Shared.m_Metrics.counted("router_asked");
+  platform::StoreClient Reader(m_Shared.m_Client, *Peer, PeerSlack);
+  if (Whole)
+    co_return co_await Reader.readTable(Of.m_Name);
+  co_return co_await Reader.feed(Of.m_Name, After, Wait, PeerSlack);
 }
 
-asio::awaitable<void> StoreWatch::follow(Feed From, Apply Take) {
-  const std::string &Table = From.m_Table;
+asio::awaitable<void> StoreWatch::follow(Table &Of) {
   bool Whole = true;
-  std::uint64_t Version = 0;
   Duration Failure = FailurePause;
   while (true) {
+    const decide::RowSource From = Of.m_FromRouters
+                                       ? Of.m_Source.next(ForwardState::now())
+                                       : decide::RowSource::Store;
     bool Failed = false;
     try {
-      platform::Rows Got;
-      if (Whole)
-        Got = co_await m_Shared.m_Store.readTable(Table);
-      else
-        Got = co_await m_Shared.m_Store.feed(Table, Version, From.m_Wait);
-      noteStore(Table, true, "");
-      m_Shared.m_Metrics.counted("store_call");
+      const platform::Rows Got = co_await readOnce(Of, Whole, From);
+      if (From == decide::RowSource::Store)
+        noteStore(Of.m_Name, true, "");
       if (Got.m_HistoryGone) {
-        router::logEvent(
-            schema::WARN, "store_history_gone",
-            {{"table", Table}, {"after", std::to_string(Version)}});
+        router::logEvent(schema::WARN, "store_history_gone",
+                         {{"table", Of.m_Name},
+                          {"after", std::to_string(Of.m_Cache.version())}});
         Whole = true;
-        continue;
+      } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole,
+                                 ForwardState::now())) {
+        if (Whole || !Got.m_Rows.empty()) {
+          Of.m_Take(Got, Whole);
+          wakeWaiting(Of);
+        }
+        Whole = false;
       }
-      Take(Got, Whole);
-      Version = Got.m_Version;
-      Whole = false;
     } catch (const Error &Wrong) {
-      noteStore(Table, false, Wrong.what());
+      if (From == decide::RowSource::Store)
+        noteStore(Of.m_Name, false, Wrong.what());
       Failed = true;
     }
-    const Duration Next = Failed ? Failure : From.m_Pause();
+    Of.m_Source.onCall(From, Failed, m_Routers.size() > 1, ForwardState::now());
+    // A reader that failed is followed by the store at once.
+    const bool Turn = Failed && From == decide::RowSource::Peer;
+    const Duration Next = Turn ? ConfigPause : Failed ? Failure : Of.m_Pause();
     Failure =
         Failed ? std::min(2 * Failure, LongestFailurePause) : FailurePause;
     co_await pause(m_Shared.m_Io, Next);
   }
 }
 
+void StoreWatch::wakeWaiting(Table &Of) {
+  for (asio::steady_timer *Each : Of.m_Waiting)
+    Each->cancel();
+}
+
+asio::awaitable<net::HttpResponse>
+StoreWatch::answer(platform::RowsQuery Query) {
+  net::HttpResponse Refused;
+  Refused.m_Status = 503;
+  Table *Of = Query.m_Table == m_Config.m_Name     ? &m_Config
+              : Query.m_Table == m_Registry.m_Name ? &m_Registry
+                                                   : nullptr;
+  if (!Of || !Of->m_Cache.fresh(ForwardState::now()))
+    co_return Refused;
+  auto Found = Of->m_Cache.rows(Query.m_After);
+  if (Found && Found->empty() && Query.m_After) {
+    asio::steady_timer Timer(m_Shared.m_Io,
+                             std::min(Query.m_Wait, LongestPeerWait));
+    Of->m_Waiting.insert(&Timer);
+    boost::system::error_code Ignored;
+    co_await Timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+    Of->m_Waiting.erase(&Timer);
+    Found = Of->m_Cache.rows(Query.m_After);
+    if (!Of->m_Cache.fresh(ForwardState::now()))
+      co_return Refused;
+  }
+  if (!Found) {
+    Refused.m_Status = 410;
+    co_return Refused;
+  }
+  platform::Rows Rows;
+  Rows.m_Rows = std::move(*Found);
+  Rows.m_Version = Of->m_Cache.version();
+  net::HttpResponse Answer;
+  Answer.m_Headers.push_back({"Content-Type", "application/json"});
+  Answer.m_Body = platform::encodeRows(Rows);
+  co_return Answer;
+}
+
 // One line when the store is lost and one when it is back.
 void StoreWatch::noteStore(const std::string &Table, bool Reachable,
                            const std::string &Detail) {
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -2,9 +2,13 @@
 #ifndef MIMOSADALE_FORWARD_STORE_WATCH_H
 #define MIMOSADALE_FORWARD_STORE_WATCH_H
 
+#include "decide/row_cache.h"
 #include "forward/forward_state.h"
+#include "net/http.h"
+#include "platform/own_rows_codec.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <set>
@@ -12,8 +16,9 @@
 
 namespace mimosadale::forward {
 
-/// Keeps one feed open for each table; reads a table anew when the store has
-/// forgotten the changes since.
+/// Keeps one feed open for each table, to the store or to a router that reads
+/// it; reads a table anew when the changes since are forgotten. Answers other
+/// routers from what it knows.
 ///
 /// \par Thread safety
 /// None; runs in the router's thread.
@@ -32,17 +37,31 @@
   /// ends: they share budgets.
   boost::asio::awaitable<void> followRouters();
 
+  /// Answers another router's question for rows.
+  boost::asio::awaitable<net::HttpResponse> answer(platform::RowsQuery Query);
+
 private:
   using Apply = std::function<void(const platform::Rows &, bool Whole)>;
 
-  struct Feed {
-    std::string m_Table;
-    Duration m_Wait{};                 // of one call, for a change
+  // One table as it is followed.
+  struct Table {
+    std::string m_Name;
+    bool m_FromRouters = false;        // may be read from another router
     std::function<Duration()> m_Pause; // between calls
+    Apply m_Take;
+    decide::RowCache m_Cache;
+    decide::RowSourceChooser m_Source;
+    std::set<boost::asio::steady_timer *> m_Waiting; // for a change
   };
 
-  boost::asio::awaitable<void> follow(Feed From, Apply Take);
-  boost::asio::awaitable<bool> registerSelf();
+  Duration registryPause() const;
+  boost::asio::awaitable<void> follow(Table &Of);
+  boost::asio::awaitable<platform::Rows> readOnce(Table &Of, bool Whole,
+                                                  decide::RowSource From);
+  std::string ownRow() const;
+  boost::asio::awaitable<bool> registerSelf(std::string Value);
+  std::optional<net::Address> peerFor(bool StoreFails);
+  void wakeWaiting(Table &Of);
   void takeConfig(const platform::Rows &Changes);
   void takeRegistry(const platform::Rows &Changes, bool Whole);
   void takeRouters(const platform::Rows &Changes, bool Whole);
@@ -52,7 +71,11 @@
   ForwardState &m_Shared;
   std::function<void()> m_OnConfig;
   std::map<std::string, bool> m_Reachable; // by table
-  std::set<std::string> m_RouterNames;
+  std::map<std::string, platform::RouterPlace> m_Routers;
+  std::string m_Reader; // the router of this data centre that reads the store
+  Table m_Config;
+  Table m_Registry;
+  Table m_RouterRows;
 };
 
 } // namespace mimosadale::forward
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -45,8 +45,10 @@
 
 Estate::Estate() {
   const std::lock_guard Lock(m_Mutex);
-  m_Store = serve(
-      [this](net::HttpExchange &Exchange) { return handleStore(Exchange); });
+  for (Door &Each : m_Doors)
+    Each.m_Server = serve([this, &Each](net::HttpExchange &Exchange) {
+      return handleStore(Each, Exchange);
+    });
   m_Routes = {json::object{{"Name", "guide"},
                            {"Host", harness::ownIp()},
                            {"Prefix", "/guide/"},
@@ -80,10 +82,11 @@
 Estate::~Estate() {
   m_Io.stop();
   m_Thread.join();
+  *m_Alive = false;
 }
 
-std::string Estate::store() const {
-  return "127.0.0.1:" + std::to_string(m_Store->port());
+std::string Estate::store(std::size_t Door) const {
+  return "127.0.0.1:" + std::to_string(m_Doors[Door].m_Server->port());
 }
 
 std::unique_ptr<net::HttpServer>
@@ -252,18 +255,18 @@
   return To;
 }
 
-Estate::Task Estate::handleStore(net::HttpExchange &Exchange) {
+Estate::Task Estate::handleStore(Door &At, net::HttpExchange &Exchange) {
   const net::HttpRequest &Request = Exchange.request();
-  if (m_Mode == StoreMode::Silent) {
-    while (m_Mode == StoreMode::Silent)
+  if (At.m_Mode == StoreMode::Silent) {
+    while (At.m_Mode == StoreMode::Silent)
       co_await pause(20ms);
     Exchange.abort();
     co_return;
   }
   net::HttpResponse Answer{503, {}, ""};
-  if (m_Mode == StoreMode::Serves) {
+  if (At.m_Mode == StoreMode::Serves) {
     if (Request.m_Target.starts_with("/v1/rows-feed")) {
-      co_await feed(Exchange);
+      co_await feed(At, Exchange);
       co_return;
     }
     Answer = Request.m_Target.starts_with("/v1/rows-get")
@@ -286,7 +289,7 @@
                           {"NowMs", 1000}});
 }
 
-Estate::Task Estate::feed(net::HttpExchange &Exchange) {
+Estate::Task Estate::feed(Door &At, net::HttpExchange &Exchange) {
   const std::string Target = Exchange.request().m_Target;
   const std::string Table = parameter(Target, "Table");
   const std::uint64_t After = std::stoull(parameter(Target, "After"));
@@ -304,7 +307,7 @@
       Version = m_Version;
     }
     if (!Rows.empty() || std::chrono::steady_clock::now() > End ||
-        m_Mode != StoreMode::Serves)
+        At.m_Mode != StoreMode::Serves)
       break;
     co_await pause(5ms);
   }
@@ -526,7 +529,9 @@
     co_await Exchange.respond(std::move(*Refused));
     co_return;
   }
-  const std::shared_ptr<void> AtWork(nullptr, [this, Number](void *) {
+  const std::shared_ptr<void> AtWork(nullptr, [this, Number, Alive = m_Alive](void *) {
+    if (!*Alive)
+      return;
     const std::lock_guard Lock(m_Mutex);
     m_Streams.erase(Number);
   });
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -5,6 +5,7 @@
 #include "decide/path.h"
 #include "net/server.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
@@ -34,7 +35,9 @@
   Estate(const Estate &) = delete;
   Estate &operator=(const Estate &) = delete;
 
-  std::string store() const;
+  /// The store's address; another door leads to the same store and can be
+  /// closed by itself.
+  std::string store(std::size_t Door = 0) const;
 
   /// Adds an engine that holds no layers, and its entry.
   void addEngine(const std::string &Id, const std::string &Centre,
@@ -62,7 +65,9 @@
   void drain(const std::string &Id);
   /// The next \p Count answers of the endpoint are lost after it ran.
   void loseAnswers(const std::string &Id, int Count);
-  void setStore(StoreMode Mode) { m_Mode = Mode; }
+  void setStore(StoreMode Mode, std::size_t Door = 0) {
+    m_Doors[Door].m_Mode = Mode;
+  }
   void setEventPause(std::chrono::milliseconds Pause) { m_Pause = Pause; }
 
   /// Runs of a request, by its id, over all endpoints.
@@ -107,13 +112,17 @@
     std::string m_WaitsFor; // address of a silent engine; may be empty
   };
   using Task = boost::asio::awaitable<void>;
+  struct Door {
+    std::atomic<StoreMode> m_Mode = StoreMode::Serves;
+    std::unique_ptr<net::HttpServer> m_Server;
+  };
 
   std::unique_ptr<net::HttpServer>
   serve(std::function<Task(net::HttpExchange &)> Handle);
   Endpoint &add(const std::string &Id, const std::string &Service);
   void publish(const Endpoint &Of);
-  Task handleStore(net::HttpExchange &Exchange);
-  Task feed(net::HttpExchange &Exchange);
+  Task handleStore(Door &At, net::HttpExchange &Exchange);
+  Task feed(Door &At, net::HttpExchange &Exchange);
   net::HttpResponse read(const std::string &Target);
   net::HttpResponse transact(const std::string &Body);
   boost::json::object rowJson(const std::string &Table, const std::string &Key,
@@ -145,13 +154,14 @@
   std::map<std::string, std::vector<std::string>> m_Paths;
   std::map<int, Stream> m_Streams; // at work
   int m_NextStream = 0;
+  // Coroutines that are left over end with the I/O context, after all else.
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
   std::atomic<bool> m_Repairs = true;
   std::vector<std::string> m_Violations;
   boost::json::array m_Routes;
   std::vector<std::string> m_Keys{"key"};
-  std::atomic<StoreMode> m_Mode = StoreMode::Serves;
   std::atomic<std::chrono::milliseconds> m_Pause{std::chrono::milliseconds(4)};
-  std::unique_ptr<net::HttpServer> m_Store;
+  std::array<Door, 2> m_Doors;
   std::thread m_Thread;
 };
 
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -3,6 +3,10 @@
 #include "harness/harness.h"
 #include "platform/estate.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -17,12 +21,14 @@
 
 namespace {
 
+const std::string PlentyRetries = "slack = 200\nwindow_seconds = 1\n";
+
 // One router with free ports.
 class Router {
 public:
   explicit Router(const Estate &Of, const std::string &Name = "r1",
-                  const std::string &Retries = "slack = 200\n"
-                                               "window_seconds = 1\n")
+                  const std::string &Retries = PlentyRetries,
+                  std::size_t Door = 0)
       : m_Directory(std::filesystem::temp_directory_path() /
                     ("forward-" + std::to_string(getpid()) + "-" + Name)) {
     std::filesystem::create_directories(m_Directory);
@@ -32,9 +38,9 @@
                             << "callers = \"" << m_Callers << "\"\n"
                             << "readiness = \"" << m_Readiness << "\"\n"
                             << "metrics = \"" << m_Metrics << "\"\n"
-                            << "peers = \"127.0.0.1:1\"\n"
+                            << "peers = \"" << m_Peers << "\"\n"
                             << "stop_within_seconds = 8\n"
-                            << "[store]\naddress = \"" << Of.store() << "\"\n"
+                            << "[store]\naddress = \"" << Of.store(Door) << "\"\n"
                             << "[retries]\n"
                             << Retries
                             << "[log]\nform = \"json\"\n";
@@ -66,6 +72,7 @@
   std::string m_Callers = harness::freeAddress();
   std::string m_Readiness = harness::freeAddress();
   std::string m_Metrics = harness::freeAddress();
+  std::string m_Peers = harness::freeAddress();
   std::unique_ptr<harness::Process> m_Process;
 };
 
@@ -297,6 +304,67 @@
             .m_Status == 200);
 }
 
+TEST_CASE("the store turns one router away: it takes the configuration from "
+          "another one") {
+  Estate Platform;
+  fill(Platform);
+  Router Near(Platform, "near");
+  Router Away(Platform, "away", PlentyRetries, 1);
+  waitServing(Near);
+  waitServing(Away);
+  // Both know of each other once the routers' table was read.
+  std::this_thread::sleep_for(1500ms);
+  Platform.setStore(tests::StoreMode::Refuses, 1);
+  Platform.setKeys({"fresh"});
+  Platform.configure(9);
+  const auto Status = [&](const Router &At, const std::string &Key) {
+    return harness::http("GET", At.callers(), "/look/a", headers("k", Key))
+        .m_Status;
+  };
+  CHECK(harness::eventually([&] { return Status(Away, "key") == 401; }));
+  CHECK(Status(Away, "fresh") == 200);
+  CHECK(Status(Near, "fresh") == 200);
+  // The registry comes the same way.
+  Platform.addService("b3", "booking");
+  Platform.drain("b1");
+  Platform.drain("b2");
+  CHECK(harness::eventually([&] {
+    harness::http("GET", Away.callers(), "/look/a", headers("via", "fresh"));
+    const auto Path = Platform.pathOf("via");
+    return !Path.empty() && Path.front() == "b3";
+  }));
+}
+
+TEST_CASE("a kept connection is not used for new requests after SIGTERM") {
+  Estate Platform;
+  fill(Platform);
+  Router At(Platform);
+  waitServing(At);
+  net::Address Callers = net::parseAddress(At.callers());
+  boost::asio::io_context Io;
+  boost::beast::tcp_stream Kept(Io);
+  Kept.connect({boost::asio::ip::make_address(Callers.m_Ip), Callers.m_Port});
+  const auto Ask = [&](const std::string &Id) {
+    namespace http = boost::beast::http;
+    http::request<http::empty_body> Request(http::verb::get, "/look/a", 11);
+    Request.set(http::field::host, harness::ownIp());
+    for (const net::HttpHeader &Each : headers(Id))
+      Request.set(Each.m_Name, Each.m_Value);
+    http::response<http::string_body> Answer;
+    boost::beast::flat_buffer Buffer;
+    boost::beast::error_code Code;
+    http::write(Kept, Request, Code);
+    if (!Code)
+      http::read(Kept, Buffer, Answer, Code);
+    return Code ? 0u : Answer.result_int();
+  };
+  CHECK(Ask("before") == 200);
+  At.process().signal(SIGTERM);
+  std::this_thread::sleep_for(2700ms);
+  CHECK(Ask("after") == 0);
+  CHECK(Platform.runs("after") == 0);
+}
+
 TEST_CASE("a leaving endpoint gets nothing more, and its layers move") {
   Estate Platform;
   fill(Platform);
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -2,8 +2,8 @@
 #include "platform/config_codec.h"
 #include "platform/endpoint_codec.h"
 #include "platform/json.h"
-#include "platform/lease_codec.h"
 #include "platform/names.h"
+#include "platform/own_rows_codec.h"
 #include "platform/request_headers.h"
 
 #include <doctest/doctest.h>
@@ -160,3 +160,27 @@
   CHECK(Row.m_Version == 9);
   CHECK_THROWS_AS(platform::decodeLease("{}", 1), platform::DecodeError);
 }
+
+TEST_CASE("rows passed on between routers read as the store's own") {
+  platform::Rows From;
+  From.m_Version = 9;
+  From.m_Rows = {{"a", "value", 7, false}, {"b", "", 9, true}};
+  const std::string Text = platform::encodeRows(From);
+  const auto Body = platform::parseObject(Text);
+  CHECK(platform::numberAt(Body, "Ver") == 9);
+  CHECK(platform::listAt(Body, "Rows").size() == 2);
+  const auto Query =
+      platform::decodeQuery("/v1/rows-feed?Table=op&After=12&WaitMs=800");
+  REQUIRE(Query);
+  CHECK(Query->m_Table == "op");
+  CHECK(Query->m_After == 12);
+  CHECK(Query->m_Wait == 800ms);
+  CHECK_FALSE(platform::decodeQuery("/v1/rows-get?Table=op")->m_After);
+  CHECK_FALSE(platform::decodeQuery("/v1/rows-tx"));
+  const auto Place = platform::decodeRouter(
+      platform::encodeRouter({"192.0.2.1:7000", DataCentreId("x")}));
+  CHECK(Place.m_Peers == "192.0.2.1:7000");
+  CHECK(Place.m_DataCentre.str() == "x");
+  CHECK_THROWS_AS(platform::decodeRouter(R"({"peers":"?","data_centre":"x"})"),
+                  platform::DecodeError);
+}
