Repair within the data centre first, then another chain, then across

Cause: repaired streams of the small sites, whose data centres hold one chain each, led through engines of other data centres: each token crosses twice, and the chain that lends is tighter. Change: RepairReach; a stream whose data centre cannot mend it takes another chain if a retry is left, and engines elsewhere only without one.

--- a/packages/decide/path_repair.cpp
+++ b/packages/decide/path_repair.cpp
@@ -23,15 +23,16 @@
 };
 
 std::vector<Offer> offersFor(const Fleet &Engines, const ChainRouter &Chains,
-                             const Path &Broken,
-                             const EndpointSet &Unfit) {
+                             const Path &Broken, const EndpointSet &Unfit,
+                             RepairReach Reach) {
   const FleetEndpoint *First = Engines.find(Broken.front().m_Endpoint);
   std::vector<Offer> Offers;
   for (const auto &[Id, Known] : Engines.all()) {
     const EndpointRecord &Record = Known.m_Record;
-    const bool OnPath = std::any_of(
-        Broken.begin(), Broken.end(),
-        [&](const StagePlan &Each) { return Each.m_Endpoint == Id; });
+    const bool OnPath =
+        std::any_of(Broken.begin(), Broken.end(), [&](const StagePlan &Each) {
+          return Each.m_Endpoint == Id;
+        });
     if (OnPath || Unfit.contains(Id) || !Known.usable() || Known.slow() ||
         Record.m_Service != First->m_Record.m_Service ||
         Record.m_Layers.m_First >= Record.m_Layers.m_End)
@@ -40,6 +41,8 @@
     if (Taken >= 1)
       continue;
     const bool Crosses = Record.m_DataCentre != First->m_Record.m_DataCentre;
+    if (Crosses && Reach == RepairReach::SameDataCentre)
+      continue;
     Offers.push_back({Id, Record.m_Layers,
                       (1 - Taken) * Chains.memoryRoom(Known),
                       1 + TakenCost * Taken + (Crosses ? CrossingCost : 0)});
@@ -84,11 +87,11 @@
 
 Path repairPath(const Fleet &Engines, const ChainRouter &Chains,
                 const Path &Broken, const EndpointSet &Lost,
-                const EndpointSet &Unfit, double Tokens) {
+                const EndpointSet &Unfit, double Tokens, RepairReach Reach) {
   if (Broken.empty() || Lost.contains(Broken.front().m_Endpoint) ||
       !Engines.find(Broken.front().m_Endpoint))
     return {};
-  std::vector<Offer> Offers = offersFor(Engines, Chains, Broken, Unfit);
+  std::vector<Offer> Offers = offersFor(Engines, Chains, Broken, Unfit, Reach);
   Path Whole;
   for (const StagePlan &Each : Broken) {
     if (!Lost.contains(Each.m_Endpoint)) {
--- a/packages/decide/pause_policy.cpp
+++ b/packages/decide/pause_policy.cpp
@@ -29,8 +29,7 @@
   if (Facts.m_FirstLost && Facts.m_MayMove && Facts.m_Pause > MovePause + Slack)
     return PauseStep::Move;
   const bool Broken = Facts.m_PathLost && Facts.m_Pause > RepairPause;
-  if ((Broken || Facts.m_PathLeaves) && Facts.m_MayRepair &&
-      !Facts.m_FirstLost)
+  if ((Broken || Facts.m_PathLeaves) && Facts.m_MayRepair && !Facts.m_FirstLost)
     return PauseStep::Repair;
   if (Facts.m_MayMove && Facts.m_PathLost && Facts.m_Pause > MovePause + Slack)
     return PauseStep::Move;
--- a/packages/decide/pause_policy.h
+++ b/packages/decide/pause_policy.h
@@ -8,15 +8,15 @@
 
 /// What is known of a request at chained engines that is waited for.
 struct PauseFacts {
-  Duration m_Pause{};       // since its last event, or since it was sent
-  bool m_EventSeen = false; // of the present send
-  Duration m_FirstWithin{}; // time within which its first event is due
-  bool m_FirstLost = false; // its first engine is gone or distrusted
-  bool m_PathLost = false;  // another engine of its path is
+  Duration m_Pause{};        // since its last event, or since it was sent
+  bool m_EventSeen = false;  // of the present send
+  Duration m_FirstWithin{};  // time within which its first event is due
+  bool m_FirstLost = false;  // its first engine is gone or distrusted
+  bool m_PathLost = false;   // another engine of its path is
   bool m_PathLeaves = false; // another engine of its path is about to leave
-  bool m_Repairing = false; // an order to change its path is under way
-  bool m_MayRepair = false; // and another such order may be given
-  bool m_MayMove = false;   // it may be repeated, and sends are left
+  bool m_Repairing = false;  // an order to change its path is under way
+  bool m_MayRepair = false;  // and another such order may be given
+  bool m_MayMove = false;    // it may be repeated, and sends are left
 };
 
 enum class PauseStep {
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -1,6 +1,5 @@
 #include "forward/forward_call.h"
 
-#include "decide/path_repair.h"
 #include "forward/engine_client.h"
 #include "platform/endpoint_codec.h"
 #include "platform/names.h"
@@ -495,10 +494,11 @@
     if (Now - m_LastProgress > ConnectTimeout)
       end(Ended::EngineLost);
   } else if (!m_Target.m_Path.empty()) {
-    const decide::PauseStep Step = decide::stepFor(pauseFacts(Now));
+    const decide::PauseFacts Facts = pauseFacts(Now);
+    const decide::PauseStep Step = decide::stepFor(Facts);
     m_Overdue = Step != decide::PauseStep::Wait;
     if (Step == decide::PauseStep::Repair)
-      repair();
+      repairOrMove(Facts, Now);
     else if (Step == decide::PauseStep::Move && goElsewhere(Now))
       end(Ended::EngineLost);
   }
@@ -553,26 +553,33 @@
   return m_RetryTaken;
 }
 
+// Other engines of the data centre come first, then another chain, then engines
+// of other data centres; these only for an engine that is lost already.
+void ForwardCall::repairOrMove(const decide::PauseFacts &Facts, Instant Now) {
+  if (repair(decide::RepairReach::SameDataCentre) || !Facts.m_PathLost)
+    return;
+  if (Facts.m_MayMove && goElsewhere(Now))
+    end(Ended::EngineLost);
+  else
+    repair(decide::RepairReach::Anywhere);
+}
+
 // Orders the engines to go on with the request without those that are lost.
-void ForwardCall::repair() {
+// \returns whether there is a path for it.
+bool ForwardCall::repair(decide::RepairReach Reach) {
   const decide::EndpointSet Lost = lostOnPath();
   const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
   if (Lost.empty() || !Chains)
-    return;
-  decide::Path Fresh =
-      decide::repairPath(m_Shared.m_Fleet, *Chains, m_Target.m_Path, Lost,
-                         m_Unfit, m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0);
+    return false;
+  decide::Path Fresh = decide::repairPath(
+      m_Shared.m_Fleet, *Chains, m_Target.m_Path, Lost, m_Unfit,
+      m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0, Reach);
+  if (Fresh.empty())
+    return false;
   ++m_Repairs;
-  if (Fresh.empty()) {
-    router::logEvent(schema::INFO, "path_not_repaired",
-                     {{"request", m_Facts.m_Id.str()},
-                      {"first", m_Target.m_Endpoint.str()},
-                      {"lost", std::to_string(Lost.size())},
-                      {"reason", "no engines with room hold the layers"}});
-    return;
-  }
   m_Repairing = true;
   asio::co_spawn(m_Shared.m_Io, orderPath(std::move(Fresh)), asio::detached);
+  return true;
 }
 
 // The request may end while the order is under way; it is then no longer among
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -3,6 +3,7 @@
 #define MIMOSADALE_FORWARD_FORWARD_CALL_H
 
 #include "decide/forward_run.h"
+#include "decide/path_repair.h"
 #include "decide/pause_policy.h"
 #include "forward/event_splitter.h"
 #include "forward/forward_state.h"
@@ -73,7 +74,8 @@
   decide::PauseFacts pauseFacts(Instant Now) const;
   decide::EndpointSet lostOnPath() const;
   bool goElsewhere(Instant Now);
-  void repair();
+  bool repair(decide::RepairReach Reach);
+  void repairOrMove(const decide::PauseFacts &Facts, Instant Now);
   boost::asio::awaitable<void> orderPath(decide::Path Fresh);
   void onPathOrdered(const decide::Path &Fresh, unsigned Status,
                      const std::string &FaultAddress);
@@ -103,11 +105,11 @@
   bool m_Connecting = false;
   Instant m_SentAt{};
   Instant m_LastProgress{};
-  bool m_EventSeen = false; // of the present send
-  bool m_Overdue = false;   // the engines of its path are to be asked
-  bool m_RetryTaken = false; // from the budget, before the present send ended
-  bool m_Repairing = false; // an order to change its path is under way
-  unsigned m_Repairs = 0;   // such orders for the present send
+  bool m_EventSeen = false;    // of the present send
+  bool m_Overdue = false;      // the engines of its path are to be asked
+  bool m_RetryTaken = false;   // from the budget, before the present send ended
+  bool m_Repairing = false;    // an order to change its path is under way
+  unsigned m_Repairs = 0;      // such orders for the present send
   decide::EndpointSet m_Unfit; // engines that could not take a part of it
   EventSplitter m_Events;
   std::optional<net::HttpResponse> m_Failure; // the endpoint's own, whole
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -381,11 +381,10 @@
       Exchange.abort();
       co_return;
     }
-    Answer = {
-        200,
-        {{platform::RequestIdHeader, Id}, {platform::SealHeader, Self}},
-        header(Request, platform::WorkspaceHeader) + " " + Request.m_Target +
-            " " + Request.m_Body};
+    Answer = {200,
+              {{platform::RequestIdHeader, Id}, {platform::SealHeader, Self}},
+              header(Request, platform::WorkspaceHeader) + " " +
+                  Request.m_Target + " " + Request.m_Body};
   }
   co_await Exchange.respond(std::move(Answer));
 }
@@ -395,8 +394,8 @@
   json::array Stalled;
   for (const auto &[Number, Each] : m_Streams)
     if (Each.m_Path.front() == &At && !Each.m_WaitsFor.empty())
-      Stalled.push_back(json::object{{"Id", Each.m_Request},
-                                     {"Address", Each.m_WaitsFor}});
+      Stalled.push_back(
+          json::object{{"Id", Each.m_Request}, {"Address", Each.m_WaitsFor}});
   return jsonAnswer(200, {{"Busy", false},
                           {"Sequence", At.m_Orders},
                           {"Queued", 0},
@@ -434,8 +433,7 @@
   const std::string Id(From.at("Id").as_string());
   const auto Running =
       std::find_if(m_Streams.begin(), m_Streams.end(), [&](const auto &Each) {
-        return Each.second.m_Request == Id &&
-               Each.second.m_Path.front() == &At;
+        return Each.second.m_Request == Id && Each.second.m_Path.front() == &At;
       });
   if (Running == m_Streams.end())
     return {404, {}, ""};
@@ -443,10 +441,10 @@
   const auto Bad = badPart(At, std::string(From.at("Path").as_string()), Path,
                            Running->second.m_Path);
   if (Bad || !m_Repairs)
-    return jsonAnswer(409, {{"Address", Bad ? net::findHeader(
-                                                  Bad->m_Headers,
-                                                  platform::FaultAtHeader)
-                                            : At.address()}});
+    return jsonAnswer(
+        409, {{"Address",
+               Bad ? net::findHeader(Bad->m_Headers, platform::FaultAtHeader)
+                   : At.address()}});
   Running->second.m_Path = Path;
   return {200, {}, ""};
 }
@@ -468,7 +466,8 @@
     const auto End = std::stoul(Part.substr(Dash + 1));
     Endpoint *Engine = byAddress(Part.substr(0, Equals));
     // An engine that gives layers up goes on with what passes through them.
-    const bool Keeps = std::find(Kept.begin(), Kept.end(), Engine) != Kept.end();
+    const bool Keeps =
+        std::find(Kept.begin(), Kept.end(), Engine) != Kept.end();
     if (!Engine || (!Keeps && (First < Engine->m_Layers.m_First ||
                                End > Engine->m_Layers.m_End)))
       return notRun(421, Part.substr(0, Equals));
@@ -529,12 +528,13 @@
     co_await Exchange.respond(std::move(*Refused));
     co_return;
   }
-  const std::shared_ptr<void> AtWork(nullptr, [this, Number, Alive = m_Alive](void *) {
-    if (!*Alive)
-      return;
-    const std::lock_guard Lock(m_Mutex);
-    m_Streams.erase(Number);
-  });
+  const std::shared_ptr<void> AtWork(nullptr,
+                                     [this, Number, Alive = m_Alive](void *) {
+                                       if (!*Alive)
+                                         return;
+                                       const std::lock_guard Lock(m_Mutex);
+                                       m_Streams.erase(Number);
+                                     });
   const std::string Counts = header(Request, platform::TokenCountHeader);
   const unsigned Most =
       static_cast<unsigned>(std::stoul(Counts.substr(Counts.find(',') + 1)));
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -33,17 +33,17 @@
                     ("forward-" + std::to_string(getpid()) + "-" + Name)) {
     std::filesystem::create_directories(m_Directory);
     const std::string Settings = m_Directory / "node.toml";
-    std::ofstream(Settings) << "name = \"" << Name << "\"\n"
-                            << "data_centre = \"fukuoka\"\n"
-                            << "callers = \"" << m_Callers << "\"\n"
-                            << "readiness = \"" << m_Readiness << "\"\n"
-                            << "metrics = \"" << m_Metrics << "\"\n"
-                            << "peers = \"" << m_Peers << "\"\n"
-                            << "stop_within_seconds = 8\n"
-                            << "[store]\naddress = \"" << Of.store(Door) << "\"\n"
-                            << "[retries]\n"
-                            << Retries
-                            << "[log]\nform = \"json\"\n";
+    std::ofstream(Settings)
+        << "name = \"" << Name << "\"\n"
+        << "data_centre = \"fukuoka\"\n"
+        << "callers = \"" << m_Callers << "\"\n"
+        << "readiness = \"" << m_Readiness << "\"\n"
+        << "metrics = \"" << m_Metrics << "\"\n"
+        << "peers = \"" << m_Peers << "\"\n"
+        << "stop_within_seconds = 8\n"
+        << "[store]\naddress = \"" << Of.store(Door) << "\"\n"
+        << "[retries]\n"
+        << Retries << "[log]\nform = \"json\"\n";
     m_Process = std::make_unique<harness::Process>(
         Name,
         std::vector<std::string>{std::string(std::getenv("MIMOSADALE_BIN")) +
@@ -100,8 +100,7 @@
 }
 
 void waitServing(Router &At) {
-  const bool Ready =
-      harness::eventually([&] { return At.readiness() == 200; });
+  const bool Ready = harness::eventually([&] { return At.readiness() == 200; });
   CAPTURE(At.log());
   REQUIRE(Ready);
   REQUIRE(harness::eventually([&] { return chainsServe(At); }));
@@ -192,8 +191,9 @@
   CHECK(Platform.violations().empty());
 }
 
-TEST_CASE("many streams stand still and one retry is left: the others wait, and "
-          "go on when the engine does") {
+TEST_CASE(
+    "many streams stand still and one retry is left: the others wait, and "
+    "go on when the engine does") {
   Estate Platform;
   fill(Platform);
   Platform.setEventPause(30ms);
--- a/tests/unit/path_repair_test.cpp
+++ b/tests/unit/path_repair_test.cpp
@@ -24,13 +24,12 @@
 }
 
 void add(Fleet &To, const std::string &Name, const std::string &Kind,
-         LayerRange Held) {
+         LayerRange Held, const std::string &Centre = "dc") {
   EndpointRecord Record;
   Record.m_Id = EndpointId(Name);
   Record.m_Service = Llm;
-  Record.m_Address =
-      "192.0.2.1:" + std::to_string(1000 + To.all().size());
-  Record.m_DataCentre = DataCentreId("dc");
+  Record.m_Address = "192.0.2.1:" + std::to_string(1000 + To.all().size());
+  Record.m_DataCentre = DataCentreId(Centre);
   Record.m_Accelerator = Kind;
   Record.m_Layers = Held;
   To.put(Record, T0);
@@ -49,16 +48,16 @@
 Path firstChain() {
   Path Of;
   for (std::uint32_t I = 0; I < 4; ++I)
-    Of.push_back(
-        {EndpointId("a" + std::to_string(I)), {20 * I, 20 * I + 20}});
+    Of.push_back({EndpointId("a" + std::to_string(I)), {20 * I, 20 * I + 20}});
   return Of;
 }
 
 Path repair(const Fleet &Engines, const EndpointSet &Lost,
-            const EndpointSet &Unfit = {}, double Tokens = 1000) {
+            const EndpointSet &Unfit = {}, double Tokens = 1000,
+            RepairReach Reach = RepairReach::SameDataCentre) {
   ChainRouter Chains;
   Chains.rebuild(Engines, Llm, model());
-  return repairPath(Engines, Chains, firstChain(), Lost, Unfit, Tokens);
+  return repairPath(Engines, Chains, firstChain(), Lost, Unfit, Tokens, Reach);
 }
 
 bool has(const Path &Of, const std::string &Engine) {
@@ -82,7 +81,8 @@
   CHECK(Fresh.size() == 5);
 }
 
-TEST_CASE("any set of lost engines: each layer once, no engine twice, or none") {
+TEST_CASE(
+    "any set of lost engines: each layer once, no engine twice, or none") {
   const Fleet Whole = twoChains();
   std::vector<EndpointId> Names;
   for (const auto &[Id, Known] : Whole.all())
@@ -100,8 +100,8 @@
     if (Fresh.empty())
       continue;
     ++Repaired;
-    bool Sound = tilesExactly(Fresh, 80) &&
-                 Fresh.front().m_Endpoint.str() == "a0";
+    bool Sound =
+        tilesExactly(Fresh, 80) && Fresh.front().m_Endpoint.str() == "a0";
     EndpointSet Seen;
     for (const StagePlan &Each : Fresh)
       Sound = Sound && !Lost.contains(Each.m_Endpoint) &&
@@ -127,6 +127,20 @@
   CHECK(repair(Engines, {EndpointId("a0")}).empty());
 }
 
+TEST_CASE("a path leaves its data centre only where that is allowed") {
+  Fleet Engines;
+  for (std::uint32_t I = 0; I < 4; ++I) {
+    add(Engines, "a" + std::to_string(I), "a100s", {20 * I, 20 * I + 20});
+    add(Engines, "far" + std::to_string(I), "a100s", {20 * I, 20 * I + 20},
+        "other");
+  }
+  const EndpointSet Lost{EndpointId("a2")};
+  CHECK(repair(Engines, Lost).empty());
+  const Path Fresh = repair(Engines, Lost, {}, 1000, RepairReach::Anywhere);
+  REQUIRE(tilesExactly(Fresh, 80));
+  CHECK(has(Fresh, "far2"));
+}
+
 TEST_CASE("a pause: over all facts, silence alone ends nothing") {
   for (const auto Pause : {0ms, 101ms, 126ms, 251ms, 700ms, 1301ms, 3000ms})
     for (unsigned Bits = 0; Bits < 1u << 7; ++Bits) {
