Rows passed on between routers carry their age since the store

Cause: a router took rows from another one as confirmed at that moment; routers that are cut off from the store confirmed each other's rows without end, and one that read from such a reader stayed behind. Ruled out: the time at which a configuration is sent (the rule counts from the store's word); the store's pause after failures (1 s at most of the 3 s). Change: answers between routers bear their age; what is older than 1.4 s is not passed on, by whatever way it came. Test: row_cache_test, routers that read from each other.

--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -38,7 +38,8 @@
   for (const CachedRow &Each : Rows)
     m_Rows[Each.m_Key] = Each;
   m_Version = Version;
-  m_ConfirmedAt = Confirmed;
+  if (!m_ConfirmedAt || Confirmed > *m_ConfirmedAt)
+    m_ConfirmedAt = Confirmed;
   return true;
 }
 
--- a/packages/decide/row_cache.h
+++ b/packages/decide/row_cache.h
@@ -29,12 +29,16 @@
 class RowCache {
 public:
   /// Takes a whole table, or changes of it, as of \p Version. Older ones than
-  /// those known are dropped. \p Confirmed is when the answer came.
+  /// those known are dropped. \p Confirmed is when the store said so: of rows
+  /// from another router, when that one had them from the store.
   /// \returns whether they were taken.
   bool take(const std::vector<CachedRow> &Rows, std::uint64_t Version,
             bool Whole, Instant Confirmed);
 
-  /// Whether the source confirmed the present state after \p Now less the time
+  /// Time since the store confirmed the rows. \pre Some were taken.
+  Duration age(Instant Now) const { return Now - *m_ConfirmedAt; }
+
+  /// Whether the store confirmed the present state after \p Now less the time
   /// for which it may be passed on.
   bool fresh(Instant Now) const;
 
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -211,7 +211,7 @@
                           {"after", std::to_string(Of.m_Cache.version())}});
         Whole = true;
       } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole,
-                                 ForwardState::now())) {
+                                 ForwardState::now() - Got.m_Age)) {
         if (Whole || !Got.m_Rows.empty()) {
           Of.m_Take(Got, Whole);
           wakeWaiting(Of);
@@ -267,6 +267,7 @@
   platform::Rows Rows;
   Rows.m_Rows = std::move(*Found);
   Rows.m_Version = Of->m_Cache.version();
+  Rows.m_Age = Of->m_Cache.age(ForwardState::now());
   net::HttpResponse Answer;
   Answer.m_Headers.push_back({"Content-Type", "application/json"});
   Answer.m_Body = platform::encodeRows(Rows);
--- a/tests/unit/row_cache_test.cpp
+++ b/tests/unit/row_cache_test.cpp
@@ -38,6 +38,25 @@
   CHECK_FALSE(Cache.fresh(T0 + 2s));
 }
 
+TEST_CASE("cut-off routers that read from each other stop passing rows on") {
+  RowCache First;
+  RowCache Second;
+  First.take({{"a", "1", 3, false}}, 3, true, T0);
+  // The store is gone after that; each takes what the other one has.
+  Instant Now = T0;
+  while (Now < T0 + 5s) {
+    Now += 300ms;
+    if (First.fresh(Now))
+      Second.take(*First.rows(std::nullopt), First.version(), true,
+                  Now - First.age(Now));
+    if (Second.fresh(Now))
+      First.take(*Second.rows(std::nullopt), Second.version(), true,
+                 Now - Second.age(Now));
+    const bool AnyFresh = First.fresh(Now) || Second.fresh(Now);
+    CHECK(AnyFresh == (Now < T0 + 1400ms));
+  }
+}
+
 TEST_CASE("a change is in force within the bound whatever fails on its way") {
   // A reader that is cut off from the store passes rows on for a while; then
   // its readers must have gone to the store. Both together, with the answers'
