--- a/packages/decide/path_repair.cpp
+++ b/packages/decide/path_repair.cpp
@@ -22,6 +22,12 @@
   double m_Cost;       // of one stage
 };
 
+bool has(const Path &Of, const EndpointId &Engine) {
+  return std::any_of(Of.begin(), Of.end(), [&](const StagePlan &Each) {
+    return Each.m_Endpoint == Engine;
+  });
+}
+
 std::vector<Offer> offersFor(const Fleet &Engines, const ChainRouter &Chains,
                              const Path &Broken, const EndpointSet &Unfit,
                              RepairReach Reach) {
@@ -29,10 +35,7 @@
   std::vector<Offer> Offers;
   for (const auto &[Id, Known] : Engines.all()) {
     const EndpointRecord &Record = Known.m_Record;
-    const bool OnPath =
-        std::any_of(Broken.begin(), Broken.end(), [&](const StagePlan &Each) {
-          return Each.m_Endpoint == Id;
-        });
+    const bool OnPath = has(Broken, Id);
     if (OnPath || Unfit.contains(Id) || !Known.usable() || Known.slow() ||
         Record.m_Service != First->m_Record.m_Service ||
         Record.m_Layers.m_First >= Record.m_Layers.m_End)
