forward_test: streams are mended where their data centre has a second chain

Change: the case has two chains in its data centre, the check is as it was; the case with one chain each (streams go on whole) stays.

--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -167,9 +167,11 @@
 }
 
 TEST_CASE("an engine falls silent in the middle of streams: they go on over "
-          "other engines and are not sent again") {
+          "other engines of the data centre and are not sent again") {
   Estate Platform;
-  fill(Platform);
+  for (int I = 0; I < 6; ++I) // two chains
+    Platform.addEngine("fukuoka" + std::to_string(I), "fukuoka");
+  Platform.configure(1);
   Platform.setEventPause(30ms);
   Router At(Platform);
   waitServing(At);
