Rows of other routers: only while the store fails, without ages

Cause, from reading the change: one reader a data centre was built but never used, a stub in all but name; and a router that the store turns away asked others every one to two seconds, while those answered for 1.4 s after the store's last word only, so it could miss a change. config_adopted said "store" whatever the source was. Change: RowSourceChooser asks the store, and while it fails other routers in turn with it, at once after each failure; pauses are decided there too. Rows bear no age: they never go back, and an older row that is newer than one's own is a gain. The log names the source. Tests: those of the reader and of ages went with what they described; in their place rows that go round, the time to a change for a store that refuses or is silent (below 2 s, the target), and that a failing store is not pressed.

--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -1,49 +1,47 @@
 #include "decide/row_cache.h"
 
+#include <algorithm>
+
 namespace mimosadale::decide {
 
 namespace {
 
-// Time for which rows may be passed on after the store confirmed them: with the
-// way on, below the shortest time in which a configuration must be in force.
-constexpr Duration PassOnTime = std::chrono::milliseconds(1400);
-
-// Wait of a feed call to the store by a router that nobody reads from: the
-// keep-alive notices a silent connection.
+// Wait of a feed call to the store: below the store's limit of 30 s. The
+// keep-alive notices a connection that is silent.
 constexpr Duration LongWait = std::chrono::seconds(20);
 
-// Wait of a feed call by a reader, and of one to a reader.
-constexpr Duration ReaderWait = std::chrono::milliseconds(900);
+// The same while the store fails, and of a call to another router: a change
+// must be in force within two seconds whichever of them is asked.
+constexpr Duration FailingWait = std::chrono::milliseconds(300);
 constexpr Duration PeerWait = std::chrono::milliseconds(800);
 
-// Time after a failure of the reader in which the store is read instead.
-constexpr Duration PeerPause = std::chrono::seconds(3);
-
 // Failed calls to the store in a row after which another router is asked.
 constexpr unsigned FailuresBeforePeer = 2;
 
+// Pause after a call that failed, doubled with each further one up to the
+// longest, so that a store that turns routers away is not pressed by them; and
+// the pause before the other source is asked.
+constexpr Duration FailurePause = std::chrono::milliseconds(250);
+constexpr Duration LongestFailurePause = std::chrono::milliseconds(1000);
+constexpr Duration TurnPause = std::chrono::milliseconds(20);
+
 } // namespace
 
 bool RowCache::take(const std::vector<CachedRow> &Rows, std::uint64_t Version,
-                    bool Whole, Instant Confirmed) {
+                    bool Whole) {
   if (Version < m_Version)
     return false;
   if (Whole) {
     m_Rows.clear();
     m_Oldest = Version;
+    m_Known = true;
   }
   for (const CachedRow &Each : Rows)
     m_Rows[Each.m_Key] = Each;
   m_Version = Version;
-  if (!m_ConfirmedAt || Confirmed > *m_ConfirmedAt)
-    m_ConfirmedAt = Confirmed;
   return true;
 }
 
-bool RowCache::fresh(Instant Now) const {
-  return m_ConfirmedAt && Now - *m_ConfirmedAt < PassOnTime;
-}
-
 std::optional<std::vector<CachedRow>>
 RowCache::rows(std::optional<std::uint64_t> After) const {
   if (After && *After < m_Oldest)
@@ -55,40 +53,31 @@
   return Found;
 }
 
-void RowSourceChooser::onRouters(std::size_t Routers, bool IsReader) {
-  m_Shared = Routers >= m_LeastShared;
-  m_Reader = IsReader;
-}
-
-RowSource RowSourceChooser::next(Instant Now) const {
-  if (m_StoreFailures >= FailuresBeforePeer)
-    return m_StoreFailures % 2 == 0 ? RowSource::Peer : RowSource::Store;
-  if (!m_Shared || m_Reader)
-    return RowSource::Store;
-  const bool Paused = m_PeerFailedAt && Now - *m_PeerFailedAt < PeerPause;
-  return Paused ? RowSource::Store : RowSource::Peer;
+RowSource RowSourceChooser::next() const {
+  return m_AskPeer ? RowSource::Peer : RowSource::Store;
 }
 
-Duration RowSourceChooser::wait(RowSource From) const {
-  if (From == RowSource::Peer)
+Duration RowSourceChooser::wait() const {
+  if (m_AskPeer)
     return PeerWait;
-  return m_Shared && m_Reader ? ReaderWait : LongWait;
+  return m_StoreFailures > 0 ? FailingWait : LongWait;
 }
 
-void RowSourceChooser::onCall(RowSource From, bool Failed, bool HasPeers,
-                              Instant Now) {
-  if (From == RowSource::Peer && Failed)
-    m_PeerFailedAt = Now;
-  if (From == RowSource::Peer && m_StoreFailures == 0)
-    return;
-  // A reader that answered does not show that the store is back; it is asked in
-  // turn with the store until then.
-  if (From == RowSource::Store && !Failed)
-    m_StoreFailures = 0;
-  else if (HasPeers || m_StoreFailures < FailuresBeforePeer)
-    ++m_StoreFailures;
-  else
-    m_StoreFailures = FailuresBeforePeer + 1; // odd: the store
+Duration RowSourceChooser::onCall(bool Failed, bool HasPeers, Duration Usual) {
+  const bool Peer = m_AskPeer;
+  if (!Peer)
+    m_StoreFailures = Failed ? m_StoreFailures + 1 : 0;
+  // A router that answered does not show that the store is back.
+  m_AskPeer = !Peer && HasPeers && m_StoreFailures >= FailuresBeforePeer;
+  if (!Failed) {
+    m_FailurePause = Duration{};
+    return Usual;
+  }
+  if (m_AskPeer)
+    return TurnPause;
+  m_FailurePause =
+      std::clamp(2 * m_FailurePause, FailurePause, LongestFailurePause);
+  return m_FailurePause;
 }
 
 } // namespace mimosadale::decide
--- a/packages/decide/row_cache.h
+++ b/packages/decide/row_cache.h
@@ -1,4 +1,4 @@
-// The rows of one table as a router knows them, for other routers to read.
+// Tables passed on between routers, and where each router reads them.
 #ifndef MIMOSADALE_DECIDE_ROW_CACHE_H
 #define MIMOSADALE_DECIDE_ROW_CACHE_H
 
@@ -12,35 +12,28 @@
 
 namespace mimosadale::decide {
 
-/// One row of a table, or the mark that it was dropped.
+/// One row of a table.
 struct CachedRow {
   std::string m_Key;
   std::string m_Value;
   std::uint64_t m_Version = 0;
-  bool m_Dropped = false;
+  bool m_Dropped = false; // of a feed: the row is gone
 };
 
-/// Rows with the changes since they were read whole. Answers others only while
-/// what it knows was confirmed a moment ago, so that a router which is cut off
-/// from the store does not hold others back.
+/// The rows of one table as this router knows them, for other routers.
 ///
 /// \par Thread safety
 /// None.
 class RowCache {
 public:
   /// Takes a whole table, or changes of it, as of \p Version. Older ones than
-  /// those known are dropped. \p Confirmed is when the store said so: of rows
-  /// from another router, when that one had them from the store.
-  /// \returns whether they were taken.
+  /// those known are dropped, so that rows never go back, by whatever way they
+  /// come. \returns whether they were taken.
   bool take(const std::vector<CachedRow> &Rows, std::uint64_t Version,
-            bool Whole, Instant Confirmed);
+            bool Whole);
 
-  /// Time since the store confirmed the rows. \pre Some were taken.
-  Duration age(Instant Now) const { return Now - *m_ConfirmedAt; }
-
-  /// Whether the store confirmed the present state after \p Now less the time
-  /// for which it may be passed on.
-  bool fresh(Instant Now) const;
+  /// Whether a whole table was taken.
+  bool known() const { return m_Known; }
 
   /// All rows; changes after \p After only if it is given. None when those
   /// changes are not known any more.
@@ -54,49 +47,34 @@
   std::map<std::string, CachedRow> m_Rows;
   std::uint64_t m_Version = 0;
   std::uint64_t m_Oldest = 0; // version of the last whole read
-  std::optional<Instant> m_ConfirmedAt;
+  bool m_Known = false;
 };
 
 /// Where a router reads a table.
 enum class RowSource { Store, Peer };
 
-/// Chooses the source. With many routers, one of each data centre reads the
-/// store and the others read from it; a router whose source fails turns to the
-/// other one.
+/// Chooses where the next call goes. A router reads the store; one that the
+/// store fails asks other routers in turn with it, until the store answers.
 ///
 /// \par Thread safety
 /// None.
 class RowSourceChooser {
 public:
-  /// \param LeastShared routers from which on they read from one another.
-  explicit RowSourceChooser(std::size_t LeastShared)
-      : m_LeastShared(LeastShared) {}
-
-  /// \param Readers whether others read from this router, or it from another.
-  void onRouters(std::size_t Routers, bool IsReader);
-
-  /// Whether one router of each data centre reads for the others.
-  bool shared() const { return m_Shared; }
-
   /// The source for the next call.
-  RowSource next(Instant Now) const;
-
-  /// Whether the store failed, so that any router may be asked.
-  bool storeFails() const { return m_StoreFailures > 0; }
+  RowSource next() const;
 
-  /// How long a call may wait for a change: a reader that others depend on must
-  /// notice soon that it is cut off.
-  Duration wait(RowSource From) const;
+  /// How long that call may wait for a change.
+  Duration wait() const;
 
-  /// A call ended. \param HasPeers whether there is another router to ask.
-  void onCall(RowSource From, bool Failed, bool HasPeers, Instant Now);
+  /// The call to `next()` ended. \param HasPeers whether there is another
+  /// router to ask. \param Usual the pause between calls that succeed.
+  /// \returns the pause before the next call.
+  Duration onCall(bool Failed, bool HasPeers, Duration Usual);
 
 private:
-  std::size_t m_LeastShared;
-  bool m_Shared = false; // enough routers to read from one another
-  bool m_Reader = false;
-  std::optional<Instant> m_PeerFailedAt;
   unsigned m_StoreFailures = 0; // in a row
+  bool m_AskPeer = false;
+  Duration m_FailurePause{};
 };
 
 } // namespace mimosadale::decide
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-// Time beyond its wait that an answer of the store, and of a router of this
-// data centre, may take.
+// Time beyond its wait that an answer of the store, and of another router, may
+// take.
 constexpr Duration StoreSlack = std::chrono::seconds(1);
 constexpr Duration PeerSlack = std::chrono::milliseconds(300);
 
@@ -35,11 +35,6 @@
 constexpr Duration RegistryPausePerRouter = std::chrono::milliseconds(15);
 constexpr Duration LongestRegistryPause = std::chrono::milliseconds(1000);
 
-// Pause after a call that failed, doubled with each further one up to the
-// longest, so that a store that turns routers away is not pressed by them.
-constexpr Duration FailurePause = std::chrono::milliseconds(250);
-constexpr Duration LongestFailurePause = std::chrono::milliseconds(1000);
-
 // Pause between tries to register this router, and between changes of the
 // routers' table.
 constexpr Duration RegisterPause = std::chrono::seconds(1);
@@ -65,26 +60,28 @@
   m_Config.m_Name = platform::OperatorTable;
   m_Config.m_FromRouters = true;
   m_Config.m_Pause = [] { return ConfigPause; };
-  m_Config.m_Take = [this](const platform::Rows &Changes, bool) {
-    takeConfig(Changes);
+  m_Config.m_Take = [this](const platform::Rows &Changes, bool,
+                           decide::RowSource From) {
+    takeConfig(Changes, From);
   };
   m_Registry.m_Name = platform::RegistryTable;
   m_Registry.m_FromRouters = true;
   m_Registry.m_Pause = [this] { return registryPause(); };
-  m_Registry.m_Take = [this](const platform::Rows &Changes, bool Whole) {
+  m_Registry.m_Take = [this](const platform::Rows &Changes, bool Whole,
+                             decide::RowSource) {
     takeRegistry(Changes, Whole);
   };
   m_RouterRows.m_Name = platform::RoutersTable;
   m_RouterRows.m_Pause = [] { return RegisterPause; };
-  m_RouterRows.m_Take = [this](const platform::Rows &Changes, bool Whole) {
+  m_RouterRows.m_Take = [this](const platform::Rows &Changes, bool Whole,
+                               decide::RowSource) {
     takeRouters(Changes, Whole);
   };
 }
 
-// Without a reader in between, all routers read the registry themselves, the
-// less often the more they are.
+// All routers read the registry, the less often the more they are.
 Duration StoreWatch::registryPause() const {
-  if (!m_Shared.m_RoutersRead || m_Registry.m_Source.shared())
+  if (!m_Shared.m_RoutersRead)
     return RegistryPause;
   return std::clamp(RegistryPausePerRouter *
                         static_cast<int>(m_Shared.m_Routers),
@@ -144,27 +141,19 @@
   m_Routers[Self] = {m_Shared.m_Settings.peers(),
                      DataCentreId(m_Shared.m_Settings.data_centre())};
   std::vector<std::string> All;
-  std::vector<std::string> Here;
-  for (const auto &[Name, Place] : m_Routers) {
+  for (const auto &[Name, Place] : m_Routers)
     All.push_back(Name);
-    if (Place.m_DataCentre.str() == m_Shared.m_Settings.data_centre())
-      Here.push_back(Name);
-  }
-  m_Reader = decide::chooseMembers(Here, "reader", 1).front();
-  m_Shared.m_Routers = m_Routers.size();
+  m_Shared.m_Routers = All.size();
   m_Shared.m_RoutersRead = true;
   m_Shared.m_OrderRank = rankOf(All, Self);
-  m_Config.m_Source.onRouters(All.size(), m_Reader == Self);
-  m_Registry.m_Source.onRouters(All.size(), m_Reader == Self);
   m_Shared.m_Metrics.gauge("routers", static_cast<double>(All.size()));
 }
 
-// The router to read from: the reader of this data centre, or any one while the
-// store fails.
-std::optional<net::Address> StoreWatch::peerFor(bool StoreFails) {
+// Another router, drawn by chance.
+std::optional<net::Address> StoreWatch::anyPeer() {
   std::vector<const platform::RouterPlace *> Others;
   for (const auto &[Name, Place] : m_Routers)
-    if (Name != m_Shared.m_Settings.name() && (StoreFails || Name == m_Reader))
+    if (Name != m_Shared.m_Settings.name())
       Others.push_back(&Place);
   if (Others.empty())
     return std::nullopt;
@@ -172,18 +161,17 @@
   return net::parseAddress(Others[Draw(m_Shared.m_Random)]->m_Peers);
 }
 
-asio::awaitable<platform::Rows> StoreWatch::readOnce(Table &Of, bool Whole,
-                                                     decide::RowSource From) {
+asio::awaitable<platform::Rows> StoreWatch::readOnce(Table &Of, bool Whole) {
   const std::uint64_t After = Of.m_Cache.version();
-  const Duration Wait = Of.m_Source.wait(From);
-  if (From == decide::RowSource::Store) {
+  const Duration Wait = Of.m_Source.wait();
+  if (Of.m_Source.next() == decide::RowSource::Store) {
     m_Shared.m_Metrics.counted("store_call");
     if (Whole)
       co_return co_await m_Shared.m_Store.readTable(Of.m_Name);
     co_return co_await m_Shared.m_Store.feed(Of.m_Name, After, Wait,
                                              StoreSlack);
   }
-  const auto Peer = peerFor(Of.m_Source.storeFails());
+  const auto Peer = anyPeer();
   if (!Peer)
     throw platform::StoreCallError("no other router is known");
   m_Shared.m_Metrics.counted("router_asked");
@@ -195,14 +183,11 @@
 
 asio::awaitable<void> StoreWatch::follow(Table &Of) {
   bool Whole = true;
-  Duration Failure = FailurePause;
   while (true) {
-    const decide::RowSource From = Of.m_FromRouters
-                                       ? Of.m_Source.next(ForwardState::now())
-                                       : decide::RowSource::Store;
+    const decide::RowSource From = Of.m_Source.next();
     bool Failed = false;
     try {
-      const platform::Rows Got = co_await readOnce(Of, Whole, From);
+      const platform::Rows Got = co_await readOnce(Of, Whole);
       if (From == decide::RowSource::Store)
         noteStore(Of.m_Name, true, "");
       if (Got.m_HistoryGone) {
@@ -210,10 +195,9 @@
                          {{"table", Of.m_Name},
                           {"after", std::to_string(Of.m_Cache.version())}});
         Whole = true;
-      } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole,
-                                 ForwardState::now() - Got.m_Age)) {
+      } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole)) {
         if (Whole || !Got.m_Rows.empty()) {
-          Of.m_Take(Got, Whole);
+          Of.m_Take(Got, Whole, From);
           wakeWaiting(Of);
         }
         Whole = false;
@@ -223,12 +207,8 @@
         noteStore(Of.m_Name, false, Wrong.what());
       Failed = true;
     }
-    Of.m_Source.onCall(From, Failed, m_Routers.size() > 1, ForwardState::now());
-    // A reader that failed is followed by the store at once.
-    const bool Turn = Failed && From == decide::RowSource::Peer;
-    const Duration Next = Turn ? ConfigPause : Failed ? Failure : Of.m_Pause();
-    Failure =
-        Failed ? std::min(2 * Failure, LongestFailurePause) : FailurePause;
+    const bool HasPeers = Of.m_FromRouters && m_Routers.size() > 1;
+    const Duration Next = Of.m_Source.onCall(Failed, HasPeers, Of.m_Pause());
     co_await pause(m_Shared.m_Io, Next);
   }
 }
@@ -245,7 +225,7 @@
   Table *Of = Query.m_Table == m_Config.m_Name     ? &m_Config
               : Query.m_Table == m_Registry.m_Name ? &m_Registry
                                                    : nullptr;
-  if (!Of || !Of->m_Cache.fresh(ForwardState::now()))
+  if (!Of || !Of->m_Cache.known())
     co_return Refused;
   auto Found = Of->m_Cache.rows(Query.m_After);
   if (Found && Found->empty() && Query.m_After) {
@@ -257,8 +237,6 @@
         asio::redirect_error(asio::use_awaitable, Ignored));
     Of->m_Waiting.erase(&Timer);
     Found = Of->m_Cache.rows(Query.m_After);
-    if (!Of->m_Cache.fresh(ForwardState::now()))
-      co_return Refused;
   }
   if (!Found) {
     Refused.m_Status = 410;
@@ -267,7 +245,6 @@
   platform::Rows Rows;
   Rows.m_Rows = std::move(*Found);
   Rows.m_Version = Of->m_Cache.version();
-  Rows.m_Age = Of->m_Cache.age(ForwardState::now());
   net::HttpResponse Answer;
   Answer.m_Headers.push_back({"Content-Type", "application/json"});
   Answer.m_Body = platform::encodeRows(Rows);
@@ -286,7 +263,9 @@
                    {{"table", Table}, {"detail", Detail}});
 }
 
-void StoreWatch::takeConfig(const platform::Rows &Changes) {
+void StoreWatch::takeConfig(const platform::Rows &Changes,
+                            decide::RowSource From) {
+  const bool Store = From == decide::RowSource::Store;
   for (const platform::Row &Each : Changes.m_Rows) {
     if (Each.m_Key != platform::ConfigKey || Each.m_Dropped)
       continue;
@@ -297,7 +276,7 @@
         continue;
       router::logEvent(schema::INFO, "config_adopted",
                        {{"version", std::to_string(Version)},
-                        {"source", "store"},
+                        {"source", Store ? "store" : "another router"},
                         {"row", std::to_string(Each.m_Version)}});
       m_OnConfig();
     } catch (const Error &Wrong) {
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -10,16 +10,15 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <limits>
 #include <map>
 #include <set>
 #include <string>
 
 namespace mimosadale::forward {
 
-/// Keeps one feed open for each table, to the store or to a router that reads
-/// it; reads a table anew when the changes since are forgotten. Answers other
-/// routers from what it knows.
+/// Keeps one feed open for each table, to the store, or to another router while
+/// the store fails; reads a table anew when the changes since are forgotten.
+/// Answers other routers from what it knows.
 ///
 /// \par Thread safety
 /// None; runs in the router's thread.
@@ -42,34 +41,29 @@
   boost::asio::awaitable<net::HttpResponse> answer(platform::RowsQuery Query);
 
 private:
-  using Apply = std::function<void(const platform::Rows &, bool Whole)>;
+  // What to do with rows, whole tables or changes.
+  using Apply = std::function<void(const platform::Rows &, bool Whole,
+                                   decide::RowSource From)>;
 
   // One table as it is followed.
-  // Routers from which on one of each data centre reads for the others: never.
-  // With 12 a key that was taken away stayed in force on a grown bench day
-  // (docs/design/platform-results.md).
-  static constexpr std::size_t LeastShared =
-      std::numeric_limits<std::size_t>::max();
-
   struct Table {
     std::string m_Name;
     bool m_FromRouters = false;        // may be read from another router
     std::function<Duration()> m_Pause; // between calls
     Apply m_Take;
     decide::RowCache m_Cache;
-    decide::RowSourceChooser m_Source{LeastShared};
+    decide::RowSourceChooser m_Source;
     std::set<boost::asio::steady_timer *> m_Waiting; // for a change
   };
 
   Duration registryPause() const;
   boost::asio::awaitable<void> follow(Table &Of);
-  boost::asio::awaitable<platform::Rows> readOnce(Table &Of, bool Whole,
-                                                  decide::RowSource From);
+  boost::asio::awaitable<platform::Rows> readOnce(Table &Of, bool Whole);
   std::string ownRow() const;
   boost::asio::awaitable<bool> registerSelf(std::string Value);
-  std::optional<net::Address> peerFor(bool StoreFails);
+  std::optional<net::Address> anyPeer();
   void wakeWaiting(Table &Of);
-  void takeConfig(const platform::Rows &Changes);
+  void takeConfig(const platform::Rows &Changes, decide::RowSource From);
   void takeRegistry(const platform::Rows &Changes, bool Whole);
   void takeRouters(const platform::Rows &Changes, bool Whole);
   void noteStore(const std::string &Table, bool Reachable,
@@ -79,7 +73,6 @@
   std::function<void()> m_OnConfig;
   std::map<std::string, bool> m_Reachable; // by table
   std::map<std::string, platform::RouterPlace> m_Routers;
-  std::string m_Reader; // the router of this data centre that reads the store
   Table m_Config;
   Table m_Registry;
   Table m_RouterRows;
