--- /dev/null
+++ b/packages/decide/answer_rule.cpp
@@ -0,0 +1,43 @@
+#include "decide/answer_rule.h"
+
+namespace mimosadale::decide {
+
+namespace {
+
+// HTTP statuses (RFC 9110, section 15).
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned TooManyRequests = 429; // RFC 6585, section 4
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned ServiceUnavailable = 503;
+
+// Time after which a refusal means that an engine of the path is lost: engines
+// answer at once when they are full.
+constexpr Duration RefusalOfLost = std::chrono::milliseconds(900);
+
+// A promise of "not run" without the endpoint's word would be false.
+bool promisesNotRun(unsigned Status) {
+  return Status == RequestTimeout || Status == TooManyRequests ||
+         Status == ServiceUnavailable;
+}
+
+} // namespace
+
+std::variant<Delivery, SendFault> judge(const AnswerFacts &Facts,
+                                        CallKind Kind) {
+  const bool Good = Facts.m_Status / 100 == 2;
+  if (Good && Facts.m_Events && Kind == CallKind::Stream)
+    return Delivery::Events;
+  if (Facts.m_SaidNotRun)
+    return SendFault::SaidNotRun;
+  if (Facts.m_HeadDelivered || promisesNotRun(Facts.m_Status))
+    return SendFault::Broken;
+  if (Good || Facts.m_Status < FirstServerError)
+    return Delivery::Whole;
+  return SendFault::Failed;
+}
+
+bool meansLost(unsigned Status, Duration After) {
+  return Status == ServiceUnavailable && After > RefusalOfLost;
+}
+
+} // namespace mimosadale::decide
--- /dev/null
+++ b/packages/decide/answer_rule.h
@@ -0,0 +1,35 @@
+// What an endpoint's answer means for the request.
+#ifndef MIMOSADALE_DECIDE_ANSWER_RULE_H
+#define MIMOSADALE_DECIDE_ANSWER_RULE_H
+
+#include "base/units.h"
+#include "decide/forward_run.h"
+
+#include <variant>
+
+namespace mimosadale::decide {
+
+/// What is known of an answer once its head is there.
+struct AnswerFacts {
+  unsigned m_Status = 0;
+  bool m_Events = false;        // its body is a series of events
+  bool m_SaidNotRun = false;    // by the endpoint's own word
+  bool m_HeadDelivered = false; // a part of an earlier answer is out
+};
+
+/// The answer is for the caller, as events or in one piece.
+enum class Delivery { Events, Whole };
+
+/// What follows from an answer: it goes to the caller, or the send has failed.
+/// A refusal is only passed on as what it says where the endpoint itself says
+/// that the request has not run. Safe from any thread, like all of this header.
+std::variant<Delivery, SendFault> judge(const AnswerFacts &Facts,
+                                        CallKind Kind);
+
+/// Whether a refusal that came so long after the request was sent means that an
+/// engine of the path is lost, rather than full.
+bool meansLost(unsigned Status, Duration After);
+
+} // namespace mimosadale::decide
+
+#endif
--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// Stages that a path may have.
-constexpr std::size_t MostStages = 32;
-
 // Part of a chain's room that a chain of another data centre must be emptier
 // by, since the caller's bytes then cross between data centres.
 constexpr double CrossingPenalty = 0.05;
@@ -28,7 +25,7 @@
     for (const StagePlan &One : Broken)
       if (One.m_Endpoint == Each.m_Endpoint)
         Own += Each.m_Layers.m_End - Each.m_Layers.m_First;
-  if (2 * Own < Layers || Stages.size() > MostStages)
+  if (2 * Own < Layers || Stages.size() > MostPathStages)
     return {};
   return Stages;
 }
--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -12,9 +12,6 @@
 // Part of a data centre's memory that layers may take; the rest holds requests.
 constexpr double MostLayerShare = 0.62;
 
-// Engines that one chain may have: the longest path that an engine accepts.
-constexpr std::size_t MostStages = 32;
-
 // Free part of its memory that an engine keeps at least when a gap is filled.
 constexpr double LeastFree = 0.05;
 
@@ -48,7 +45,8 @@
   const double OneChain = Model.m_Layers * Model.m_LayerMb;
   const auto ByMemory =
       static_cast<std::size_t>(Memory * MostLayerShare / OneChain);
-  const std::size_t ByLength = (All.size() + MostStages - 1) / MostStages;
+  const std::size_t ByLength =
+      (All.size() + MostPathStages - 1) / MostPathStages;
   if (Memory < OneChain)
     return 0;
   return std::max<std::size_t>({1, ByMemory, ByLength});
--- a/packages/decide/path.h
+++ b/packages/decide/path.h
@@ -5,6 +5,7 @@
 #include "base/id.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -37,6 +38,10 @@
 };
 
 using Path = std::vector<StagePlan>;
+
+/// Stages that a path of chained engines may have; engines refuse longer ones.
+constexpr std::size_t MostPathStages = 32;
+
 using EndpointSet = std::set<EndpointId>;
 
 /// Whether \p Stages tile [0, \p Layers) in order, with no gap and no overlap.
--- a/packages/decide/path_repair.cpp
+++ b/packages/decide/path_repair.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Stages that a path may have.
-constexpr std::size_t MostStages = 32;
-
 // Costs beside one for each stage: of an engine whose memory is all taken, and
 // of a hop that leaves the path's data centre.
 constexpr double TakenCost = 4;
@@ -88,6 +85,24 @@
 
 } // namespace
 
+PathState pathState(const Fleet &Engines, const Path &Stages) {
+  PathState Of;
+  for (const StagePlan &Each : Stages) {
+    const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
+    const bool Lost = !Known || Known->m_Suspect;
+    const bool Leaves = !Lost && Known->m_LeavingOver;
+    if (Lost || Leaves)
+      Of.m_Lost.insert(Each.m_Endpoint);
+    if (&Each == &Stages.front()) {
+      Of.m_FirstLost = Lost;
+      continue;
+    }
+    Of.m_RestLost |= Lost;
+    Of.m_RestLeaves |= Leaves;
+  }
+  return Of;
+}
+
 Path repairPath(const Fleet &Engines, const ChainRouter &Chains,
                 const Path &Broken, const EndpointSet &Lost,
                 const EndpointSet &Unfit, double Tokens, RepairReach Reach) {
@@ -111,7 +126,7 @@
       });
     }
   }
-  return Whole.size() <= MostStages ? Whole : Path();
+  return Whole.size() <= MostPathStages ? Whole : Path();
 }
 
 } // namespace mimosadale::decide
--- a/packages/decide/path_repair.h
+++ b/packages/decide/path_repair.h
@@ -6,6 +6,18 @@
 
 namespace mimosadale::decide {
 
+/// What the engines of a path are taken for, beside usable.
+struct PathState {
+  bool m_FirstLost = false;  // gone or distrusted
+  bool m_RestLost = false;   // another one is
+  bool m_RestLeaves = false; // another one is about to leave
+  EndpointSet m_Lost;        // all of these
+};
+
+/// The state of \p Stages as \p Engines has it. Safe from any thread, like all
+/// of this header.
+PathState pathState(const Fleet &Engines, const Path &Stages);
+
 /// Where the other engines may be: a path that leaves its data centre loads the
 /// link between data centres with each token.
 enum class RepairReach { SameDataCentre, Anywhere };
@@ -14,7 +26,7 @@
 /// the same service that are not on the path yet, are not among \p Unfit and
 /// have room for \p Tokens. Prefers few stages and the emptier engines.
 /// \returns an empty path when the first stage is lost, which holds the
-/// request, or when some layers have no engine. Safe from any thread.
+/// request, or when some layers have no engine.
 Path repairPath(const Fleet &Engines, const ChainRouter &Chains,
                 const Path &Broken, const EndpointSet &Lost,
                 const EndpointSet &Unfit, double Tokens, RepairReach Reach);
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -14,29 +14,13 @@
 namespace mimosadale::forward {
 
 namespace asio = boost::asio;
+using decide::ReportReason;
 
 namespace {
 
 // Interval of the checks of all calls: well below the pauses that they notice.
 constexpr Duration TickPause = std::chrono::milliseconds(25);
 
-// Intervals between reports of one engine: while requests wait for it as their
-// first one and as another of their path, while it is distrusted, and for its
-// load.
-constexpr Duration OverdueInterval = std::chrono::milliseconds(150);
-constexpr Duration OverduePathInterval = std::chrono::milliseconds(1000);
-constexpr Duration SuspectInterval = std::chrono::milliseconds(500);
-constexpr Duration LoadInterval = std::chrono::milliseconds(800);
-
-// The interval for the load grows with the routers that all ask: from this many
-// on in proportion, up to the longest.
-constexpr int RoutersOfLoadInterval = 16;
-constexpr Duration LongestLoadInterval = std::chrono::milliseconds(2000);
-
-// The interval for chains that fill up, and the part from which on they do.
-constexpr Duration FillingInterval = std::chrono::milliseconds(400);
-constexpr double FillingPart = 0.6;
-
 // Time after which an engine that does not report counts as silent.
 constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
 
@@ -75,10 +59,11 @@
   for (const ForwardCall *Each : *m_Shared.m_Calls)
     if (const decide::Path *Overdue = Each->overduePath())
       for (const decide::StagePlan &Stage : *Overdue)
-        askOnce(Stage.m_Endpoint, Now,
-                Stage.m_Endpoint == Overdue->front().m_Endpoint
-                    ? OverdueInterval
-                    : OverduePathInterval);
+        askIfDue(Stage.m_Endpoint,
+                 Stage.m_Endpoint == Overdue->front().m_Endpoint
+                     ? ReportReason::WaitedFor
+                     : ReportReason::OnPath,
+                 Now);
 }
 
 // Engines because of which a request was refused: their own report tells
@@ -86,13 +71,13 @@
 void EngineWatch::askAccused(Instant Now) {
   const std::set<EndpointId> Accused = std::exchange(m_Shared.m_Accused, {});
   for (const EndpointId &Each : Accused)
-    askOnce(Each, Now, OverdueInterval);
+    askIfDue(Each, ReportReason::WaitedFor, Now);
 }
 
 void EngineWatch::askSuspects(Instant Now) {
   for (const auto &[Id, Known] : m_Shared.m_Fleet.all())
     if (Known.m_Suspect && Now - Known.m_SuspectSince > DistrustTime)
-      askOnce(Id, Now, SuspectInterval);
+      askIfDue(Id, ReportReason::Suspect, Now);
 }
 
 // Asks the first engine of each chain, which has the places, and the fullest
@@ -101,31 +86,25 @@
   const auto &Routes = m_Shared.m_Routes.current();
   if (!Routes || m_Shared.m_Calls->empty())
     return;
-  const Duration Relaxed =
-      std::clamp(LoadInterval * static_cast<int>(m_Shared.m_Routers) /
-                     RoutersOfLoadInterval,
-                 LoadInterval, LongestLoadInterval);
   for (const decide::ServiceInfo &Each : Routes->config().m_Services) {
     const decide::ChainRouter *Chains = m_Shared.chainsOf(Each.m_Name);
     if (!Chains)
       continue;
     for (const decide::Chain &Chain : Chains->chains()) {
-      const bool Filling =
-          Chains->fill(m_Shared.m_Fleet, Chain, Now) > FillingPart;
-      const Duration Interval = Filling ? FillingInterval : Relaxed;
-      askOnce(Chains->fullest(m_Shared.m_Fleet, Chain), Now, Interval);
-      askOnce(Chain.m_Stages.front().m_Endpoint, Now, Interval);
+      const ReportReason Why = decide::ReportSchedule::filling(
+                                   Chains->fill(m_Shared.m_Fleet, Chain, Now))
+                                   ? ReportReason::Filling
+                                   : ReportReason::Load;
+      askIfDue(Chains->fullest(m_Shared.m_Fleet, Chain), Why, Now);
+      askIfDue(Chain.m_Stages.front().m_Endpoint, Why, Now);
     }
   }
 }
 
-void EngineWatch::askOnce(const EndpointId &Endpoint, Instant Now,
-                          Duration Interval) {
-  Instant &Asked = m_AskedAt[Endpoint];
-  if (Now - Asked < Interval)
-    return;
-  Asked = Now;
-  asio::co_spawn(m_Shared.m_Io, ask(Endpoint), asio::detached);
+void EngineWatch::askIfDue(const EndpointId &Endpoint, ReportReason Why,
+                           Instant Now) {
+  if (m_Schedule.due(Endpoint, Why, m_Shared.m_Routers, Now))
+    asio::co_spawn(m_Shared.m_Io, ask(Endpoint), asio::detached);
 }
 
 asio::awaitable<void> EngineWatch::ask(EndpointId Endpoint) {
--- a/packages/forward/engine_watch.h
+++ b/packages/forward/engine_watch.h
@@ -2,6 +2,7 @@
 #ifndef MIMOSADALE_FORWARD_ENGINE_WATCH_H
 #define MIMOSADALE_FORWARD_ENGINE_WATCH_H
 
+#include "decide/report_schedule.h"
 #include "forward/forward_state.h"
 #include "platform/endpoint_codec.h"
 
@@ -27,12 +28,13 @@
   void askAccused(Instant Now);
   void askSuspects(Instant Now);
   void askLoads(Instant Now);
-  void askOnce(const EndpointId &Endpoint, Instant Now, Duration Interval);
+  void askIfDue(const EndpointId &Endpoint, decide::ReportReason Why,
+                Instant Now);
   boost::asio::awaitable<void> ask(EndpointId Endpoint);
   void take(const EndpointId &Endpoint, const platform::EngineReport &Report);
 
   ForwardState &m_Shared;
-  std::map<EndpointId, Instant> m_AskedAt;
+  decide::ReportSchedule m_Schedule;
 };
 
 } // namespace mimosadale::forward
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -72,7 +72,6 @@
   decide::ForwardStep ended();
   boost::asio::awaitable<void> toCaller(boost::asio::awaitable<void> Write);
   decide::PauseFacts pauseFacts(Instant Now) const;
-  decide::EndpointSet lostOnPath() const;
   bool goElsewhere(Instant Now);
   bool repair(decide::RepairReach Reach);
   void repairOrMove(const decide::PauseFacts &Facts, Instant Now);
--- a/packages/router/log.cpp
+++ b/packages/router/log.cpp
@@ -107,6 +107,11 @@
 
 } // namespace
 
+std::string millisText(Duration Time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
 void setUpLog(const schema::LogSettings &Settings, const std::string &Node) {
   AsJson = Settings.form() == schema::JSON;
   const std::string Pattern =
--- a/packages/router/log.h
+++ b/packages/router/log.h
@@ -2,6 +2,7 @@
 #ifndef MIMOSADALE_ROUTER_LOG_H
 #define MIMOSADALE_ROUTER_LOG_H
 
+#include "base/units.h"
 #include "schema/generated/settings.pb.h"
 
 #include <string>
@@ -17,6 +18,9 @@
   std::string m_Value;
 };
 
+/// Whole milliseconds, as the value of a field. Safe from any thread.
+std::string millisText(Duration Time);
+
 /// Sets level and form; the level may be set again at any time. \pre The log
 /// library is initialised. Safe from any thread.
 void setUpLog(const schema::LogSettings &Settings, const std::string &Node);
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -45,7 +45,7 @@
 
 Estate::Estate() {
   const std::lock_guard Lock(m_Mutex);
-  for (Door &Each : m_Doors)
+  for (Listener &Each : m_Listeners)
     Each.m_Server = serve([this, &Each](net::HttpExchange &Exchange) {
       return handleStore(Each, Exchange);
     });
@@ -85,8 +85,8 @@
   *m_Alive = false;
 }
 
-std::string Estate::store(std::size_t Door) const {
-  return "127.0.0.1:" + std::to_string(m_Doors[Door].m_Server->port());
+std::string Estate::store(std::size_t Listener) const {
+  return "127.0.0.1:" + std::to_string(m_Listeners[Listener].m_Server->port());
 }
 
 std::unique_ptr<net::HttpServer>
@@ -255,7 +255,7 @@
   return To;
 }
 
-Estate::Task Estate::handleStore(Door &At, net::HttpExchange &Exchange) {
+Estate::Task Estate::handleStore(Listener &At, net::HttpExchange &Exchange) {
   const net::HttpRequest &Request = Exchange.request();
   if (At.m_Mode == StoreMode::Silent) {
     while (At.m_Mode == StoreMode::Silent)
@@ -289,7 +289,7 @@
                           {"NowMs", 1000}});
 }
 
-Estate::Task Estate::feed(Door &At, net::HttpExchange &Exchange) {
+Estate::Task Estate::feed(Listener &At, net::HttpExchange &Exchange) {
   const std::string Target = Exchange.request().m_Target;
   const std::string Table = parameter(Target, "Table");
   const std::uint64_t After = std::stoull(parameter(Target, "After"));
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -35,9 +35,8 @@
   Estate(const Estate &) = delete;
   Estate &operator=(const Estate &) = delete;
 
-  /// The store's address; another door leads to the same store and can be
-  /// closed by itself.
-  std::string store(std::size_t Door = 0) const;
+  /// An address of the store. There are two, and each can fail by itself.
+  std::string store(std::size_t Listener = 0) const;
 
   /// Adds an engine that holds no layers, and its entry.
   void addEngine(const std::string &Id, const std::string &Centre,
@@ -65,8 +64,8 @@
   void drain(const std::string &Id);
   /// The next \p Count answers of the endpoint are lost after it ran.
   void loseAnswers(const std::string &Id, int Count);
-  void setStore(StoreMode Mode, std::size_t Door = 0) {
-    m_Doors[Door].m_Mode = Mode;
+  void setStore(StoreMode Mode, std::size_t Listener = 0) {
+    m_Listeners[Listener].m_Mode = Mode;
   }
   void setEventPause(std::chrono::milliseconds Pause) { m_Pause = Pause; }
 
@@ -112,7 +111,7 @@
     std::string m_WaitsFor; // address of a silent engine; may be empty
   };
   using Task = boost::asio::awaitable<void>;
-  struct Door {
+  struct Listener {
     std::atomic<StoreMode> m_Mode = StoreMode::Serves;
     std::unique_ptr<net::HttpServer> m_Server;
   };
@@ -121,8 +120,8 @@
   serve(std::function<Task(net::HttpExchange &)> Handle);
   Endpoint &add(const std::string &Id, const std::string &Service);
   void publish(const Endpoint &Of);
-  Task handleStore(Door &At, net::HttpExchange &Exchange);
-  Task feed(Door &At, net::HttpExchange &Exchange);
+  Task handleStore(Listener &At, net::HttpExchange &Exchange);
+  Task feed(Listener &At, net::HttpExchange &Exchange);
   net::HttpResponse read(const std::string &Target);
   net::HttpResponse transact(const std::string &Body);
   boost::json::object rowJson(const std::string &Table, const std::string &Key,
@@ -161,7 +160,7 @@
   boost::json::array m_Routes;
   std::vector<std::string> m_Keys{"key"};
   std::atomic<std::chrono::milliseconds> m_Pause{std::chrono::milliseconds(4)};
-  std::array<Door, 2> m_Doors;
+  std::array<Listener, 2> m_Listeners;
   std::thread m_Thread;
 };
 
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -28,7 +28,7 @@
 public:
   explicit Router(const Estate &Of, const std::string &Name = "r1",
                   const std::string &Retries = PlentyRetries,
-                  std::size_t Door = 0)
+                  std::size_t Listener = 0)
       : m_Directory(std::filesystem::temp_directory_path() /
                     ("forward-" + std::to_string(getpid()) + "-" + Name)) {
     std::filesystem::create_directories(m_Directory);
@@ -41,7 +41,7 @@
         << "metrics = \"" << m_Metrics << "\"\n"
         << "peers = \"" << m_Peers << "\"\n"
         << "stop_within_seconds = 8\n"
-        << "[store]\naddress = \"" << Of.store(Door) << "\"\n"
+        << "[store]\naddress = \"" << Of.store(Listener) << "\"\n"
         << "[retries]\n"
         << Retries << "[log]\nform = \"json\"\n";
     m_Process = std::make_unique<harness::Process>(
@@ -106,6 +106,20 @@
   REQUIRE(harness::eventually([&] { return chainsServe(At); }));
 }
 
+using Streams = std::vector<std::unique_ptr<harness::EventStream>>;
+
+// Streams "s0", "s1" and so on, each with its first event read.
+Streams openStreams(const Router &At, int Count, unsigned Events) {
+  Streams Open;
+  for (int I = 0; I < Count; ++I) {
+    Open.push_back(std::make_unique<harness::EventStream>(
+        At.callers(), "/guide/seat",
+        headers("s" + std::to_string(I), "key", Events), "x"));
+    REQUIRE(Open.back()->next());
+  }
+  return Open;
+}
+
 // Reads a stream to its end and checks that ids rise by one. \returns the
 // number of events.
 unsigned readOrdered(harness::EventStream &From, unsigned Already = 0) {
@@ -149,17 +163,11 @@
   Platform.setEventPause(10ms);
   Router At(Platform);
   waitServing(At);
-  std::vector<std::unique_ptr<harness::EventStream>> Streams;
-  for (int I = 0; I < 8; ++I) {
-    Streams.push_back(std::make_unique<harness::EventStream>(
-        At.callers(), "/guide/seat",
-        headers("s" + std::to_string(I), "key", 90), "x"));
-    REQUIRE(Streams.back()->next());
-  }
+  const Streams Open = openStreams(At, 8, 90);
   const auto Path = Platform.pathOf("s0");
   REQUIRE(!Path.empty());
   Platform.silence(Path.back());
-  for (auto &Each : Streams) {
+  for (const auto &Each : Open) {
     CHECK(readOrdered(*Each, 1) == 90);
     CHECK(Each->whole());
   }
@@ -175,19 +183,13 @@
   Platform.setEventPause(30ms);
   Router At(Platform);
   waitServing(At);
-  std::vector<std::unique_ptr<harness::EventStream>> Streams;
-  for (int I = 0; I < 8; ++I) {
-    Streams.push_back(std::make_unique<harness::EventStream>(
-        At.callers(), "/guide/seat",
-        headers("s" + std::to_string(I), "key", 60), "x"));
-    REQUIRE(Streams.back()->next());
-  }
+  const Streams Open = openStreams(At, 8, 60);
   const auto Path = Platform.pathOf("s0");
   REQUIRE(Path.size() > 1);
   Platform.silence(Path.back());
-  for (std::size_t I = 0; I < Streams.size(); ++I) {
-    CHECK(readOrdered(*Streams[I], 1) == 60);
-    CHECK(Streams[I]->whole());
+  for (std::size_t I = 0; I < Open.size(); ++I) {
+    CHECK(readOrdered(*Open[I], 1) == 60);
+    CHECK(Open[I]->whole());
     CHECK(Platform.runs("s" + std::to_string(I)) == 1);
   }
   CHECK(Platform.violations().empty());
@@ -203,19 +205,13 @@
   Router At(Platform, "r1", "slack = 2\nfraction = 0\nwindow_seconds = 2\n");
   waitServing(At);
   std::this_thread::sleep_for(2200ms); // the budget grows for one window
-  std::vector<std::unique_ptr<harness::EventStream>> Streams;
-  for (int I = 0; I < 12; ++I) {
-    Streams.push_back(std::make_unique<harness::EventStream>(
-        At.callers(), "/guide/seat",
-        headers("s" + std::to_string(I), "key", 60), "x"));
-    REQUIRE(Streams.back()->next());
-  }
+  const Streams Open = openStreams(At, 12, 60);
   const auto Path = Platform.pathOf("s0");
   REQUIRE(Path.size() > 1);
   Platform.silence(Path.back());
   std::this_thread::sleep_for(900ms);
   Platform.wake(Path.back());
-  for (auto &Each : Streams) {
+  for (const auto &Each : Open) {
     CHECK(readOrdered(*Each, 1) == 60);
     CHECK(Each->whole());
   }
@@ -234,7 +230,7 @@
     REQUIRE(Stream.next());
     CHECK(Platform.streams() >= 1);
   }
-  CHECK(harness::eventually([&] { return Platform.streams() == 0; }, 3s));
+  CHECK(harness::eventually([&] { return Platform.streams() == 0; }, 500ms));
 }
 
 TEST_CASE("an address is used again by another instance: it runs nothing that "
--- /dev/null
+++ b/tests/unit/forward_choice_test.cpp
@@ -0,0 +1,113 @@
+// Where a request goes without a chain, what an answer means, and how often
+// engines are asked.
+#include "decide/answer_rule.h"
+#include "decide/plain_router.h"
+#include "decide/report_schedule.h"
+
+#include <doctest/doctest.h>
+
+using namespace mimosadale;
+using namespace mimosadale::decide;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant T0{std::chrono::seconds(1000)};
+const ServiceId Booking("booking");
+
+Fleet endpoints() {
+  Fleet Made;
+  for (const std::string Name : {"near", "far", "other"}) {
+    EndpointRecord Record;
+    Record.m_Id = EndpointId(Name);
+    Record.m_Service = ServiceId(Name == "other" ? "other" : "booking");
+    Record.m_DataCentre = DataCentreId(Name == "far" ? "y" : "x");
+    Made.put(Record, T0);
+  }
+  return Made;
+}
+
+std::string chosen(const Fleet &Of, const EndpointSet &Avoid = {}) {
+  Random Rng(7);
+  const FleetEndpoint *Found =
+      choosePlain(Of, Booking, DataCentreId("x"), Avoid, Rng);
+  return Found ? Found->m_Record.m_Id.str() : "";
+}
+
+} // namespace
+
+TEST_CASE("a plain service: the least busy endpoint, the near one of equals") {
+  Fleet Made = endpoints();
+  CHECK(chosen(Made) == "near");
+  Made.countFirstStage(EndpointId("near"), 1);
+  CHECK(chosen(Made) == "far");
+  Made.suspect(EndpointId("far"), "test", T0);
+  CHECK(chosen(Made) == "near");
+  CHECK(chosen(Made, {EndpointId("near")}) == "far");
+  Made.remove(EndpointId("near"), T0);
+  CHECK(chosen(Made) == "far");
+  Made.remove(EndpointId("far"), T0);
+  CHECK(chosen(Made).empty());
+}
+
+TEST_CASE(
+    "over all answers: no promise of \"not run\" but the endpoint's own") {
+  for (const CallKind Kind :
+       {CallKind::Stream, CallKind::Idempotent, CallKind::AtMostOnce})
+    for (unsigned Status = 200; Status < 600; ++Status)
+      for (unsigned Bits = 0; Bits < 8; ++Bits) {
+        AnswerFacts Facts;
+        Facts.m_Status = Status;
+        Facts.m_Events = Bits & 1;
+        Facts.m_SaidNotRun = Bits & 2;
+        Facts.m_HeadDelivered = Bits & 4;
+        CAPTURE(Status);
+        CAPTURE(Bits);
+        const auto Judged = judge(Facts, Kind);
+        const auto *To = std::get_if<Delivery>(&Judged);
+        if (To && *To == Delivery::Events)
+          CHECK((Status < 300 && Facts.m_Events && Kind == CallKind::Stream));
+        if (To && *To == Delivery::Whole) {
+          CHECK_FALSE(Facts.m_HeadDelivered);
+          CHECK_FALSE(Facts.m_SaidNotRun);
+          CHECK(Status < 500);
+          CHECK((Status != 408 && Status != 429 && Status != 503));
+        }
+        const auto *How = std::get_if<SendFault>(&Judged);
+        CHECK((How && *How == SendFault::SaidNotRun) ==
+              (Facts.m_SaidNotRun && !To));
+        // The endpoint's own failure goes to the caller as it is.
+        if (How && *How == SendFault::Failed)
+          CHECK((Status >= 500 && Status != 503));
+      }
+}
+
+TEST_CASE(
+    "a refusal at once is that of a full engine, a late one of a lost one") {
+  CHECK_FALSE(meansLost(503, 50ms));
+  CHECK(meansLost(503, 2s));
+  CHECK_FALSE(meansLost(421, 2s));
+}
+
+TEST_CASE("engines are asked as often as the reason wants, and not more") {
+  const EndpointId Engine("a");
+  const auto Asked = [&](ReportReason Why, std::size_t Routers) {
+    ReportSchedule Schedule;
+    int Count = 0;
+    for (Instant Now = T0; Now < T0 + 10s; Now += 25ms)
+      Count += Schedule.due(Engine, Why, Routers, Now);
+    return Count;
+  };
+  CHECK(Asked(ReportReason::WaitedFor, 6) > Asked(ReportReason::OnPath, 6));
+  CHECK(Asked(ReportReason::Filling, 6) > Asked(ReportReason::Load, 6));
+  // Many routers ask the same engines, so each asks less often; one that fills
+  // up is still followed.
+  CHECK(Asked(ReportReason::Load, 6) > 2 * Asked(ReportReason::Load, 68));
+  CHECK(Asked(ReportReason::Load, 68) == Asked(ReportReason::Load, 340));
+  CHECK(Asked(ReportReason::Filling, 6) == Asked(ReportReason::Filling, 340));
+  // One reason counts for the other.
+  ReportSchedule Schedule;
+  CHECK(Schedule.due(Engine, ReportReason::Load, 6, T0));
+  CHECK_FALSE(Schedule.due(Engine, ReportReason::WaitedFor, 6, T0 + 100ms));
+  CHECK(Schedule.due(EndpointId("b"), ReportReason::WaitedFor, 6, T0 + 100ms));
+}
--- a/tests/unit/path_repair_test.cpp
+++ b/tests/unit/path_repair_test.cpp
@@ -2,37 +2,20 @@
 #include "decide/path_repair.h"
 #include "decide/pause_policy.h"
 
+#include "engine_fixture.h"
+
 #include <doctest/doctest.h>
 
 using namespace mimosadale;
 using namespace mimosadale::decide;
+using namespace mimosadale::tests;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr Instant T0{std::chrono::seconds(1000)};
-const ServiceId Llm("llm");
-
-EngineModel model() {
-  EngineModel Of;
-  Of.m_Layers = 80;
-  Of.m_LayerMb = 1750;
-  Of.m_KvBytesPerToken = 590000;
-  Of.m_FirstStageSlots = 192;
-  Of.m_Kinds = {{"a100s", {36000, 3.1, 3.2}}, {"l4", {21600, 16, 8.2}}};
-  return Of;
-}
-
 void add(Fleet &To, const std::string &Name, const std::string &Kind,
          LayerRange Held, const std::string &Centre = "dc") {
-  EndpointRecord Record;
-  Record.m_Id = EndpointId(Name);
-  Record.m_Service = Llm;
-  Record.m_Address = "192.0.2.1:" + std::to_string(1000 + To.all().size());
-  Record.m_DataCentre = DataCentreId(Centre);
-  Record.m_Accelerator = Kind;
-  Record.m_Layers = Held;
-  To.put(Record, T0);
+  To.put(engine(Name, Kind, Held, Centre), T0);
 }
 
 // A chain of 4 a100s, a0 to a3, and one of 8 l4, b0 to b7.
@@ -141,6 +124,27 @@
   CHECK(has(Fresh, "far2"));
 }
 
+TEST_CASE("what the engines of a path are taken for") {
+  Fleet Engines = twoChains();
+  const Path Chain = firstChain();
+  PathState Of = pathState(Engines, Chain);
+  CHECK_FALSE(Of.m_FirstLost);
+  CHECK_FALSE(Of.m_RestLost);
+  CHECK(Of.m_Lost.empty());
+  Engines.remove(EndpointId("a2"), T0);
+  CHECK_FALSE(pathState(Engines, Chain).m_RestLeaves);
+  Engines.onTick(T0 + 1001ms);
+  // One that the registry dropped is forgotten after that, so it is lost.
+  Engines.onTick(T0 + 1100ms);
+  Of = pathState(Engines, Chain);
+  CHECK(Of.m_RestLost);
+  CHECK(Of.m_Lost == EndpointSet{EndpointId("a2")});
+  Engines.suspect(EndpointId("a0"), "test", T0);
+  Of = pathState(Engines, Chain);
+  CHECK(Of.m_FirstLost);
+  CHECK(Of.m_Lost.size() == 2);
+}
+
 TEST_CASE("a pause: over all facts, silence alone ends nothing") {
   for (const auto Pause : {0ms, 101ms, 126ms, 251ms, 700ms, 1301ms, 3000ms})
     for (unsigned Bits = 0; Bits < 1u << 7; ++Bits) {
