Stand-in: an engine sees that its caller left while nothing is sent

A stream of the stand-in noticed a caller that left at its next write only, so a pause between events hid whether a router passes the close on. The case now leaves during a pause of 3 s; the bound of 500 ms is the users' (work half a second later).

--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -494,12 +494,21 @@
 // Whether the stream waits for a silent engine.
 bool Estate::stalled(int Number) {
   const std::lock_guard Lock(m_Mutex);
-  Stream &At = m_Streams.at(Number);
-  At.m_WaitsFor.clear();
-  for (const Endpoint *Each : At.m_Path)
+  const auto At = m_Streams.find(Number);
+  if (At == m_Streams.end())
+    return false;
+  std::string &WaitsFor = At->second.m_WaitsFor;
+  WaitsFor.clear();
+  for (const Endpoint *Each : At->second.m_Path)
     if (Each->m_Silent)
-      At.m_WaitsFor = Each->address();
-  return !At.m_WaitsFor.empty();
+      WaitsFor = Each->address();
+  return !WaitsFor.empty();
+}
+
+// Whether the stream's caller is still there.
+bool Estate::atWork(int Number) {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Streams.contains(Number);
 }
 
 void Estate::run(const std::string &Request,
@@ -528,13 +537,14 @@
     co_await Exchange.respond(std::move(*Refused));
     co_return;
   }
-  const std::shared_ptr<void> AtWork(nullptr,
-                                     [this, Number, Alive = m_Alive](void *) {
-                                       if (!*Alive)
-                                         return;
-                                       const std::lock_guard Lock(m_Mutex);
-                                       m_Streams.erase(Number);
-                                     });
+  const auto End = [this, Number, Alive = m_Alive] {
+    if (!*Alive)
+      return;
+    const std::lock_guard Lock(m_Mutex);
+    m_Streams.erase(Number);
+  };
+  const std::shared_ptr<void> AtWork(nullptr, [End](void *) { End(); });
+  Exchange.watchCaller(End);
   const std::string Counts = header(Request, platform::TokenCountHeader);
   const unsigned Most =
       static_cast<unsigned>(std::stoul(Counts.substr(Counts.find(',') + 1)));
@@ -555,6 +565,10 @@
       }
       co_await pause(10ms);
     }
+    if (!atWork(Number)) {
+      Exchange.abort();
+      co_return;
+    }
     std::string Event = "id: " + std::to_string(I) + "\ndata: token " +
                         std::to_string(I) + "\n\n";
     co_await Exchange.write(std::move(Event));
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -136,6 +136,7 @@
                                            std::vector<Endpoint *> &Path,
                                            const std::vector<Endpoint *> &Kept);
   bool stalled(int Number);
+  bool atWork(int Number);
   net::HttpResponse report(const Endpoint &At);
   std::optional<net::HttpResponse> refusal(const Endpoint &At,
                                            const net::HttpRequest &Request,
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -218,7 +218,8 @@
   CHECK(Platform.violations().empty());
 }
 
-TEST_CASE("a caller leaves: the engines stop working for it") {
+TEST_CASE("a caller leaves while nothing is sent: the engines stop working for "
+          "it") {
   Estate Platform;
   fill(Platform);
   Platform.setEventPause(30ms);
@@ -228,6 +229,8 @@
     harness::EventStream Stream(At.callers(), "/guide/seat",
                                 headers("s1", "key", 400), "x");
     REQUIRE(Stream.next());
+    Platform.setEventPause(3s);
+    std::this_thread::sleep_for(100ms); // the event under way
     CHECK(Platform.streams() >= 1);
   }
   CHECK(harness::eventually([&] { return Platform.streams() == 0; }, 500ms));
