--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -3,6 +3,10 @@
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
 cd "$root"
 
+# Objects compiled in one checkout serve another one.
+export CCACHE_BASEDIR="$root"
+export CCACHE_NOHASHDIR=1
+
 # Installs what scripts/packages.txt names; without root, says what is missing.
 install_packages() {
   local missing=()
