Routers that see orders carried out do not ask for the lease

Ruled out: the registry's feed (57 calls a router), configurations (14). Change: decide/order_turn: a router whose registry shows engines taking layers waits anew; the holder renews as before. Test on virtual time, 68 routers; it could not compile before the module was there, so it was not seen to fail.

--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -35,8 +35,10 @@
   if (samePlace(Known.m_Record, Record))
     return;
   // What it said of its memory is of other layers.
-  if (Known.m_Record.m_Layers != Record.m_Layers)
+  if (Known.m_Record.m_Layers != Record.m_Layers) {
     Known.m_Load.reset();
+    m_LayersTaken += Record.m_Layers.m_End > 0 ? 1 : 0;
+  }
   if (Record.m_Leaving && !Known.m_Record.m_Leaving) {
     Known.m_LeavingSince = Now;
     Known.m_LeavingOver = false;
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -118,9 +118,13 @@
   /// Rises with each change of members, layers or trust.
   std::uint64_t revision() const { return m_Revision; }
 
+  /// Rises with each change by which an engine holds other layers than none.
+  std::uint64_t layersTaken() const { return m_LayersTaken; }
+
 private:
   std::map<EndpointId, FleetEndpoint> m_All;
   std::uint64_t m_Revision = 1;
+  std::uint64_t m_LayersTaken = 0;
 };
 
 } // namespace mimosadale::decide
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -66,15 +66,15 @@
   const std::vector<decide::PlaceOrder> Due =
       m_Orders.due(m_Shared.m_Fleet, Service->m_Name, *Service->m_Engine, Now);
   if (Due.empty() && !m_Orders.pending()) {
-    m_DueSince.reset();
+    m_Turn.end();
     co_return;
   }
-  if (!m_DueSince) {
-    m_DueSince = Now;
-    m_LeasePause = leasePause();
-  }
+  const std::uint64_t Taken = m_Shared.m_Fleet.layersTaken();
+  if (!m_Turn.begun())
+    m_Turn.begin(leasePause(), Taken, Now);
   const unsigned AtOnce = Service->m_Engine->m_LoadsAtOnce;
-  if (m_Lease.wantsRow(Now) && Now - *m_DueSince >= m_LeasePause)
+  const bool Holds = m_Lease.fence(Now).has_value();
+  if (m_Lease.wantsRow(Now) && (Holds || m_Turn.comes(Taken, Now)))
     co_await takeLease();
   for (const decide::PlaceOrder &Each : Due) {
     const auto Fence = m_Lease.fence(ForwardState::now());
--- a/packages/forward/layer_control.h
+++ b/packages/forward/layer_control.h
@@ -4,6 +4,7 @@
 
 #include "decide/layer_orders.h"
 #include "decide/order_lease.h"
+#include "decide/order_turn.h"
 #include "forward/forward_state.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -34,8 +35,7 @@
   decide::OrderLease m_Lease;
   const Instant m_Begun;
   unsigned m_InProgress = 0;
-  std::optional<Instant> m_DueSince; // orders have been due since
-  Duration m_LeasePause{};
+  decide::OrderTurn m_Turn;
 };
 
 } // namespace mimosadale::forward
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -4,6 +4,7 @@
 #include "decide/layer_orders.h"
 #include "decide/layer_planner.h"
 #include "decide/order_lease.h"
+#include "decide/order_turn.h"
 #include "decide/tiling.h"
 
 #include "engine_fixture.h"
@@ -339,3 +340,30 @@
     CHECK(chains(Made) == 1);
   }
 }
+
+TEST_CASE("orders due at many routers: while one gives them, the others leave "
+          "the store alone") {
+  // 68 routers; the holder's orders take effect every 900 ms for half a minute,
+  // then it dies.
+  constexpr unsigned Routers = 68;
+  constexpr Duration Pauses[] = {700ms, 1400ms, 2100ms, 4100ms};
+  std::vector<OrderTurn> Others(Routers - 1);
+  for (unsigned I = 0; I < Others.size(); ++I)
+    Others[I].begin(Pauses[std::min(I, 3u)], 0, T0);
+  std::uint64_t Taken = 0;
+  unsigned TurnsWhileServed = 0;
+  Instant Now = T0;
+  Instant Next = T0 + 900ms;
+  for (; Now < T0 + 30s; Now += 200ms) {
+    if (Now >= Next) {
+      ++Taken;
+      Next += 900ms;
+    }
+    for (unsigned I = 1; I < Others.size(); ++I)
+      TurnsWhileServed += Others[I].comes(Taken, Now) ? 1 : 0;
+  }
+  CHECK(TurnsWhileServed == 0);
+  // The first of them comes within its pause of the last sign of the holder.
+  CHECK(Others[1].comes(Taken, Now + 1400ms));
+  CHECK(Others[3].comes(Taken, Now + 4100ms));
+}
