An engine whose report is overdue is led around before the pause counts as late

Cause: a silent engine is known after a pause of 125 ms and a time limit of 300 ms, so every stream over it pauses for longer than the 200 or 250 ms allowed; and an engine asked within the last second was not asked again for a stream that waits. Ruled out: a shorter time limit for distrust: one lost packet would cost a chain. Change: a report that takes over 70 ms leads waiting requests around the engine and new ones to other chains; it is distrusted after 300 ms as before. One question at a time; engines of a path that stands still are asked every 400 ms instead of 1,000.

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -159,7 +159,20 @@
   };
   std::vector<Option> Options;
   std::vector<double> Free;
+  const auto Answers = [&](const Chain &Of) {
+    return std::none_of(
+        Of.m_Stages.begin(), Of.m_Stages.end(), [&](const StagePlan &Each) {
+          const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
+          return Known && Known->unanswered(Now);
+        });
+  };
+  const bool AnyAnswers =
+      std::any_of(m_Chains.begin(), m_Chains.end(), [&](const Chain &Each) {
+        return !touches(Each.m_Stages, Avoid) && Answers(Each);
+      });
   for (const Chain &Each : m_Chains) {
+    if (AnyAnswers && !Answers(Each))
+      continue;
     if (touches(Each.m_Stages, Avoid) || Size.tokens() > Each.m_RoomTokens)
       continue;
     const double Fill = fill(Engines, Each, Now);
--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -10,6 +10,11 @@
 // half of the shortest time in which it must get nothing more.
 constexpr Duration LeavingUse = std::chrono::milliseconds(1000);
 
+// Time after which a report is overdue: many times the way to an engine and
+// back, and with the pause before it is asked below the shortest pause of a
+// stream that counts as late.
+constexpr Duration ReportOverdue = std::chrono::milliseconds(70);
+
 // Times the time of its kind from which on an engine counts as slow.
 constexpr double SlowFrom = 3;
 
@@ -25,6 +30,10 @@
   return m_Load && m_Load->m_Slowdown >= SlowFrom;
 }
 
+bool FleetEndpoint::unanswered(Instant Now) const {
+  return m_AskedAt && Now - *m_AskedAt > ReportOverdue;
+}
+
 void Fleet::put(const EndpointRecord &Record, Instant Now) {
   FleetEndpoint &Known = m_All[Record.m_Id];
   const bool Restarted = Known.m_Record.m_StartedMs != 0 &&
@@ -121,6 +130,16 @@
   Found->second.m_SentSinceReport = 0;
 }
 
+void Fleet::onAsked(const EndpointId &Id, Instant Now) {
+  if (const auto Found = m_All.find(Id); Found != m_All.end())
+    Found->second.m_AskedAt = Now;
+}
+
+void Fleet::onAskEnded(const EndpointId &Id) {
+  if (const auto Found = m_All.find(Id); Found != m_All.end())
+    Found->second.m_AskedAt.reset();
+}
+
 void Fleet::onFull(const EndpointId &Id, Instant Until) {
   if (const auto Found = m_All.find(Id); Found != m_All.end())
     Found->second.m_FullUntil = Until;
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -50,6 +50,7 @@
   double m_KvSinceReport = 0;     // sent by this router since the last report
   std::optional<EngineLoadReport> m_Load;
   Instant m_LoadAt{};
+  std::optional<Instant> m_AskedAt; // a report was asked for and is not there
 
   bool m_Dropped = false;     // by the registry
   bool m_LeavingOver = false; // it has been leaving for too long to be used
@@ -57,6 +58,11 @@
   /// Whether its own word is that it runs much slower than its kind.
   bool slow() const;
 
+  /// Whether a report that was asked for takes longer than one of an engine
+  /// that is there: a reason to lead a waiting request around it, not yet one
+  /// to distrust it.
+  bool unanswered(Instant Now) const;
+
   /// Whether layers may be planned on it.
   bool usable() const { return !m_Suspect && !m_Record.m_Leaving; }
 
@@ -98,6 +104,11 @@
   void onReport(const EndpointId &Id, const EngineLoadReport &Load,
                 Instant Now);
 
+  /// A report was asked of \p Id, and the question has ended, with an answer or
+  /// without. \pre One question at a time.
+  void onAsked(const EndpointId &Id, Instant Now);
+  void onAskEnded(const EndpointId &Id);
+
   /// \p Id refused a request for want of a place: it gets none until \p Until.
   void onFull(const EndpointId &Id, Instant Until);
 
--- a/packages/decide/path_repair.cpp
+++ b/packages/decide/path_repair.cpp
@@ -27,13 +27,14 @@
 
 std::vector<Offer> offersFor(const Fleet &Engines, const ChainRouter &Chains,
                              const Path &Broken, const EndpointSet &Unfit,
-                             RepairReach Reach) {
+                             RepairReach Reach, Instant Now) {
   const FleetEndpoint *First = Engines.find(Broken.front().m_Endpoint);
   std::vector<Offer> Offers;
   for (const auto &[Id, Known] : Engines.all()) {
     const EndpointRecord &Record = Known.m_Record;
     const bool OnPath = has(Broken, Id);
     if (OnPath || Unfit.contains(Id) || !Known.usable() || Known.slow() ||
+        Known.unanswered(Now) ||
         Record.m_Service != First->m_Record.m_Service ||
         Record.m_Layers.m_First >= Record.m_Layers.m_End)
       continue;
@@ -85,11 +86,11 @@
 
 } // namespace
 
-PathState pathState(const Fleet &Engines, const Path &Stages) {
+PathState pathState(const Fleet &Engines, const Path &Stages, Instant Now) {
   PathState Of;
   for (const StagePlan &Each : Stages) {
     const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
-    const bool Lost = !Known || Known->m_Suspect;
+    const bool Lost = !Known || Known->m_Suspect || Known->unanswered(Now);
     const bool Leaves = !Lost && Known->m_LeavingOver;
     if (Lost || Leaves)
       Of.m_Lost.insert(Each.m_Endpoint);
@@ -105,11 +106,13 @@
 
 Path repairPath(const Fleet &Engines, const ChainRouter &Chains,
                 const Path &Broken, const EndpointSet &Lost,
-                const EndpointSet &Unfit, double Tokens, RepairReach Reach) {
+                const EndpointSet &Unfit, double Tokens, RepairReach Reach,
+                Instant Now) {
   if (Broken.empty() || Lost.contains(Broken.front().m_Endpoint) ||
       !Engines.find(Broken.front().m_Endpoint))
     return {};
-  std::vector<Offer> Offers = offersFor(Engines, Chains, Broken, Unfit, Reach);
+  std::vector<Offer> Offers =
+      offersFor(Engines, Chains, Broken, Unfit, Reach, Now);
   Path Whole;
   for (const StagePlan &Each : Broken) {
     if (!Lost.contains(Each.m_Endpoint)) {
--- a/packages/decide/path_repair.h
+++ b/packages/decide/path_repair.h
@@ -8,7 +8,7 @@
 
 /// What the engines of a path are taken for, beside usable.
 struct PathState {
-  bool m_FirstLost = false;  // gone or distrusted
+  bool m_FirstLost = false;  // gone, distrusted, or its report is overdue
   bool m_RestLost = false;   // another one is
   bool m_RestLeaves = false; // another one is about to leave
   EndpointSet m_Lost;        // all of these
@@ -16,7 +16,7 @@
 
 /// The state of \p Stages as \p Engines has it. Safe from any thread, like all
 /// of this header.
-PathState pathState(const Fleet &Engines, const Path &Stages);
+PathState pathState(const Fleet &Engines, const Path &Stages, Instant Now);
 
 /// Where the other engines may be: a path that leaves its data centre loads the
 /// link between data centres with each token.
@@ -29,7 +29,8 @@
 /// request, or when some layers have no engine.
 Path repairPath(const Fleet &Engines, const ChainRouter &Chains,
                 const Path &Broken, const EndpointSet &Lost,
-                const EndpointSet &Unfit, double Tokens, RepairReach Reach);
+                const EndpointSet &Unfit, double Tokens, RepairReach Reach,
+                Instant Now);
 
 } // namespace mimosadale::decide
 
--- a/packages/decide/report_schedule.cpp
+++ b/packages/decide/report_schedule.cpp
@@ -9,7 +9,7 @@
 // Intervals between reports of one engine, by the reason: the first two are
 // well below the pause that makes a stream late, in requests of many streams.
 constexpr Duration WaitedForInterval = std::chrono::milliseconds(150);
-constexpr Duration OnPathInterval = std::chrono::milliseconds(1000);
+constexpr Duration OnPathInterval = std::chrono::milliseconds(400);
 constexpr Duration SuspectInterval = std::chrono::milliseconds(500);
 constexpr Duration FillingInterval = std::chrono::milliseconds(400);
 constexpr Duration LoadInterval = std::chrono::milliseconds(800);
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -103,6 +103,9 @@
 
 void EngineWatch::askIfDue(const EndpointId &Endpoint, ReportReason Why,
                            Instant Now) {
+  const auto *Known = m_Shared.m_Fleet.find(Endpoint);
+  if (!Known || Known->m_AskedAt)
+    return;
   if (m_Schedule.due(Endpoint, Why, m_Shared.m_Routers, Now))
     asio::co_spawn(m_Shared.m_Io, ask(Endpoint), asio::detached);
 }
@@ -116,6 +119,7 @@
   const bool Plain = Known->m_Record.m_Accelerator.empty();
   std::string Fault;
   m_Shared.m_Metrics.counted("report_asked");
+  m_Shared.m_Fleet.onAsked(Endpoint, ForwardState::now());
   try {
     const net::HttpResponse Response =
         co_await callEngine(m_Shared, Endpoint, Request, ReportTimeout);
@@ -128,6 +132,7 @@
   } catch (const Error &Wrong) {
     Fault = std::string("report: ") + Wrong.what();
   }
+  m_Shared.m_Fleet.onAskEnded(Endpoint);
   if (!Fault.empty())
     m_Shared.suspect(Endpoint, Fault);
 }
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -73,7 +73,7 @@
   boost::asio::awaitable<void> toCaller(boost::asio::awaitable<void> Write);
   decide::PauseFacts pauseFacts(Instant Now) const;
   bool goElsewhere(Instant Now);
-  bool repair(decide::RepairReach Reach);
+  bool repair(decide::RepairReach Reach, Instant Now);
   void repairOrMove(const decide::PauseFacts &Facts, Instant Now);
   boost::asio::awaitable<void> orderPath(decide::Path Fresh);
   void onPathOrdered(const decide::Path &Fresh, unsigned Status,
--- a/packages/forward/forward_pauses.cpp
+++ b/packages/forward/forward_pauses.cpp
@@ -46,7 +46,7 @@
 
 decide::PauseFacts ForwardCall::pauseFacts(Instant Now) const {
   const decide::PathState Path =
-      decide::pathState(m_Shared.m_Fleet, m_Target.m_Path);
+      decide::pathState(m_Shared.m_Fleet, m_Target.m_Path, Now);
   decide::PauseFacts Facts;
   Facts.m_Pause = Now - m_LastProgress;
   Facts.m_EventSeen = m_EventSeen;
@@ -79,26 +79,26 @@
 // Other engines of the data centre come first, then another chain, then engines
 // of other data centres; these only for an engine that is lost already.
 void ForwardCall::repairOrMove(const decide::PauseFacts &Facts, Instant Now) {
-  if (repair(decide::RepairReach::SameDataCentre) || !Facts.m_PathLost)
+  if (repair(decide::RepairReach::SameDataCentre, Now) || !Facts.m_PathLost)
     return;
   if (Facts.m_MayMove && goElsewhere(Now))
     end(Ended::EngineLost);
   else
-    repair(decide::RepairReach::Anywhere);
+    repair(decide::RepairReach::Anywhere, Now);
 }
 
 // Orders the engines to go on with the request without those that are lost.
 // \returns whether there is a path for it.
-bool ForwardCall::repair(decide::RepairReach Reach) {
+bool ForwardCall::repair(decide::RepairReach Reach, Instant Now) {
   decide::EndpointSet Lost =
-      decide::pathState(m_Shared.m_Fleet, m_Target.m_Path).m_Lost;
+      decide::pathState(m_Shared.m_Fleet, m_Target.m_Path, Now).m_Lost;
   Lost.insert(m_Unfit.begin(), m_Unfit.end());
   const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
   if (Lost.empty() || !Chains)
     return false;
   decide::Path Fresh = decide::repairPath(
       m_Shared.m_Fleet, *Chains, m_Target.m_Path, Lost, m_Unfit,
-      m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0, Reach);
+      m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0, Reach, Now);
   if (Fresh.empty())
     return false;
   ++m_Repairs;
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -68,10 +68,11 @@
 // What follows from a send that this router ended.
 ForwardStep ForwardCall::ended() {
   if (m_Ended == Ended::EngineLost) {
+    const Instant Now = ForwardState::now();
     decide::EndpointSet Lost;
     for (const decide::StagePlan &Each : m_Target.m_Path) {
       const auto *Known = m_Shared.m_Fleet.find(Each.m_Endpoint);
-      if (!Known || !Known->usable())
+      if (!Known || !Known->usable() || Known->unanswered(Now))
         Lost.insert(Each.m_Endpoint);
     }
     if (Lost.empty())
--- a/tests/unit/path_repair_test.cpp
+++ b/tests/unit/path_repair_test.cpp
@@ -40,7 +40,8 @@
             RepairReach Reach = RepairReach::SameDataCentre) {
   ChainRouter Chains;
   Chains.rebuild(Engines, Llm, model());
-  return repairPath(Engines, Chains, firstChain(), Lost, Unfit, Tokens, Reach);
+  return repairPath(Engines, Chains, firstChain(), Lost, Unfit, Tokens, Reach,
+                    T0);
 }
 
 bool has(const Path &Of, const std::string &Engine) {
@@ -127,24 +128,54 @@
 TEST_CASE("what the engines of a path are taken for") {
   Fleet Engines = twoChains();
   const Path Chain = firstChain();
-  PathState Of = pathState(Engines, Chain);
+  PathState Of = pathState(Engines, Chain, T0);
   CHECK_FALSE(Of.m_FirstLost);
   CHECK_FALSE(Of.m_RestLost);
   CHECK(Of.m_Lost.empty());
   Engines.remove(EndpointId("a2"), T0);
-  CHECK_FALSE(pathState(Engines, Chain).m_RestLeaves);
+  CHECK_FALSE(pathState(Engines, Chain, T0).m_RestLeaves);
   Engines.onTick(T0 + 1001ms);
   // One that the registry dropped is forgotten after that, so it is lost.
   Engines.onTick(T0 + 1100ms);
-  Of = pathState(Engines, Chain);
+  Of = pathState(Engines, Chain, T0);
   CHECK(Of.m_RestLost);
   CHECK(Of.m_Lost == EndpointSet{EndpointId("a2")});
   Engines.suspect(EndpointId("a0"), "test", T0);
-  Of = pathState(Engines, Chain);
+  Of = pathState(Engines, Chain, T0);
   CHECK(Of.m_FirstLost);
   CHECK(Of.m_Lost.size() == 2);
 }
 
+TEST_CASE("an engine falls silent: streams are led around it before a pause "
+          "counts as late") {
+  Fleet Engines = twoChains();
+  const Path Chain = firstChain();
+  const EndpointId Silent("a1");
+  // Asked after a pause of 125 ms; a report that is there at once changes
+  // nothing.
+  const Instant Asked = T0 + 125ms;
+  Engines.onAsked(Silent, Asked);
+  CHECK_FALSE(pathState(Engines, Chain, Asked + 20ms).m_RestLost);
+  const Instant Late = T0 + 200ms; // the shortest pause that counts as late
+  const PathState Of = pathState(Engines, Chain, Late);
+  REQUIRE(Of.m_RestLost);
+  CHECK(Of.m_Lost == EndpointSet{Silent});
+  ChainRouter Chains;
+  Chains.rebuild(Engines, Llm, model());
+  const Path Fresh = repairPath(Engines, Chains, Chain, Of.m_Lost, {}, 1000,
+                                RepairReach::SameDataCentre, Late);
+  CHECK(tilesExactly(Fresh, 80));
+  // Nothing is repaired with an engine that does not answer either.
+  Engines.onAsked(EndpointId("b2"), Asked);
+  CHECK(repairPath(Engines, Chains, Chain, Of.m_Lost, {}, 1000,
+                   RepairReach::SameDataCentre, Late)
+            .empty());
+  // It is not distrusted for that: other requests are still sent to it.
+  CHECK(Engines.find(Silent)->usable());
+  Engines.onAskEnded(Silent);
+  CHECK_FALSE(pathState(Engines, Chain, Late).m_RestLost);
+}
+
 TEST_CASE("a pause: over all facts, silence alone ends nothing") {
   for (const auto Pause : {0ms, 101ms, 126ms, 251ms, 700ms, 1301ms, 3000ms})
     for (unsigned Bits = 0; Bits < 1u << 7; ++Bits) {
