A chain's fill is expected from the requests that run on it where no report tells

Cause: of a chain only its first and its fullest engine are asked, and the fullest was chosen by reports or by what this router itself had sent: a sixtieth of the load. Ruled out: engines that are lost (refusals came after 1 ms, not after a stall). Change: without a recent report the part taken is what the requests running on the engine's chains need at the usual size; the fullest engine is the fullest by that, so it is the one asked; a chain without room for the prompt is not chosen; replacements in repairs are judged alike. endpoint_refused says who refused and what was believed. The test fails without the change (x0 for the tight x3; every draw on the full chain).

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -13,6 +13,13 @@
 // by, since the caller's bytes then cross between data centres.
 constexpr double CrossingPenalty = 0.05;
 
+// Age from which on a report tells less of an engine's memory than the number
+// of requests on its chain: beyond the longest interval between reports.
+constexpr Duration OldReport = std::chrono::milliseconds(2500);
+
+// Part of its answer that a running request has written, on average.
+constexpr double AnswerWritten = 0.5;
+
 // A broken chain with its gap lent by other engines of the data centre; empty
 // when it would be lent more than it brings.
 Path mended(const std::vector<StagePlan> &Broken,
@@ -52,6 +59,7 @@
                           const EngineModel &Model) {
   m_Model = Model;
   m_Chains.clear();
+  m_PartsOf.clear();
   std::map<DataCentreId, std::vector<StagePlan>> ByDataCentre;
   std::map<DataCentreId, std::vector<StagePlan>> Leaving;
   std::vector<StagePlan> All;
@@ -77,6 +85,7 @@
       const std::uint32_t Used = Each.m_Layers.m_End - Each.m_Layers.m_First;
       const double Room = kvRoom(Model, Record.m_Accelerator, Held) / Used;
       Fresh.m_RoomTokens = std::min(Fresh.m_RoomTokens, Room);
+      m_PartsOf[Each.m_Endpoint].push_back({m_Chains.size(), Used});
     }
     Fresh.m_Stages = std::move(Stages);
     m_Chains.push_back(std::move(Fresh));
@@ -105,24 +114,44 @@
   const FleetEndpoint *First = Engines.find(Of.m_Stages.front().m_Endpoint);
   if (!First || Now < First->m_FullUntil)
     return 1;
-  const unsigned Running = First->m_Load ? First->m_Load->m_Running +
-                                               First->m_Load->m_Queued +
-                                               First->m_SentSinceReport
-                                         : 0;
-  double Most =
-      m_Model.m_FirstStageSlots > 0
-          ? static_cast<double>(std::max(Running, First->m_InFlight)) /
-                m_Model.m_FirstStageSlots
-          : 0;
+  const unsigned Running = runningAt(*First);
+  double Most = m_Model.m_FirstStageSlots > 0
+                    ? static_cast<double>(Running) / m_Model.m_FirstStageSlots
+                    : 0;
   for (const StagePlan &Each : Of.m_Stages) {
     const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
     if (!Known || Now < Known->m_FullUntil)
       return 1;
-    Most = std::max(Most, memoryTaken(*Known));
+    Most = std::max(Most, expectedTaken(Engines, *Known, Now));
   }
   return Most;
 }
 
+unsigned ChainRouter::runningAt(const FleetEndpoint &First) {
+  const unsigned Reported = First.m_Load ? First.m_Load->m_Running +
+                                               First.m_Load->m_Queued +
+                                               First.m_SentSinceReport
+                                         : 0;
+  return std::max(Reported, First.m_InFlight);
+}
+
+double ChainRouter::expectedTaken(const Fleet &Engines, const FleetEndpoint &Of,
+                                  Instant Now) const {
+  const double Known = memoryTaken(Of);
+  const auto Parts = m_PartsOf.find(Of.m_Record.m_Id);
+  if (Parts == m_PartsOf.end() || (Of.m_Load && Now - Of.m_LoadAt < OldReport))
+    return Known;
+  const double Usual =
+      m_Model.m_UsualPrompt + AnswerWritten * m_Model.m_UsualAnswer;
+  double Expected = 0;
+  for (const ChainPart &Each : Parts->second)
+    if (const FleetEndpoint *First =
+            Engines.find(m_Chains[Each.m_Chain].m_Stages.front().m_Endpoint))
+      Expected += runningAt(*First) * Usual * Each.m_Layers;
+  const double Room = memoryRoom(Of);
+  return Room > 0 ? std::max(Known, Expected / Room) : 1;
+}
+
 double ChainRouter::memoryRoom(const FleetEndpoint &Of) const {
   if (Of.m_Load && Of.m_Load->m_KvTotal > 0)
     return Of.m_Load->m_KvTotal;
@@ -137,12 +166,14 @@
   return Room > 0 ? std::max(Reported, Of.m_KvInFlight) / Room : 1;
 }
 
-EndpointId ChainRouter::fullest(const Fleet &Engines, const Chain &Of) const {
+EndpointId ChainRouter::fullest(const Fleet &Engines, const Chain &Of,
+                                Instant Now) const {
   EndpointId Found = Of.m_Stages.front().m_Endpoint;
   double Most = -1;
   for (const StagePlan &Each : Of.m_Stages)
     if (const FleetEndpoint *Known = Engines.find(Each.m_Endpoint))
-      if (const double Taken = memoryTaken(*Known); Taken > Most) {
+      if (const double Taken = expectedTaken(Engines, *Known, Now);
+          Taken > Most) {
         Most = Taken;
         Found = Each.m_Endpoint;
       }
@@ -176,7 +207,7 @@
     if (touches(Each.m_Stages, Avoid) || Size.tokens() > Each.m_RoomTokens)
       continue;
     const double Fill = fill(Engines, Each, Now);
-    if (Fill >= 1)
+    if (Fill >= 1 || (1 - Fill) * Each.m_RoomTokens < Size.m_Prompt)
       continue;
     Options.push_back({&Each, Fill});
     Free.push_back(std::max(0.01, 1 - Fill) * Each.m_RoomTokens);
--- a/packages/decide/chain_router.h
+++ b/packages/decide/chain_router.h
@@ -38,8 +38,9 @@
                const EngineModel &Model);
 
   /// The chain for a request of \p Size, without the engines of \p Avoid; none
-  /// when no whole chain is left. Of two drawn by their free room the emptier
-  /// one is taken, so that routers with equally old reports spread out.
+  /// when no chain is left that is whole and has room for its prompt. Of two
+  /// drawn by their free room the emptier one is taken, so that routers with
+  /// equally old reports spread out.
   const Chain *choose(const Fleet &Engines, const RequestSize &Size,
                       const DataCentreId &Here, const EndpointSet &Avoid,
                       Instant Now, Random &Rng) const;
@@ -49,18 +50,36 @@
   double fill(const Fleet &Engines, const Chain &Of, Instant Now) const;
 
   /// The engine of \p Of whose memory is taken the most.
-  EndpointId fullest(const Fleet &Engines, const Chain &Of) const;
+  EndpointId fullest(const Fleet &Engines, const Chain &Of, Instant Now) const;
 
   /// What an engine can hold for requests beside its layers, in tokens times
-  /// layers, and the part of it that is taken. Its own word goes before the
-  /// model, since it may still hold layers that it is giving up.
+  /// layers, and the part of it that is taken by its last word or by what this
+  /// router sent. Its own word of the room goes before the model, since it may
+  /// still hold layers that it is giving up.
   double memoryRoom(const FleetEndpoint &Of) const;
   double memoryTaken(const FleetEndpoint &Of) const;
 
+  /// The part that is taken, for all routers: its own word if that is recent,
+  /// else what the requests that run on its chains take if they are of the
+  /// usual size.
+  double expectedTaken(const Fleet &Engines, const FleetEndpoint &Of,
+                       Instant Now) const;
+
   const std::vector<Chain> &chains() const { return m_Chains; }
 
 private:
+  // Requests that \p First runs or is about to, for all routers; as many as
+  // this router knows of where there is no report.
+  static unsigned runningAt(const FleetEndpoint &First);
+
+  // The part that a chain has in an engine.
+  struct ChainPart {
+    std::size_t m_Chain = 0;
+    std::uint32_t m_Layers = 0;
+  };
+
   std::vector<Chain> m_Chains;
+  std::map<EndpointId, std::vector<ChainPart>> m_PartsOf; // by engine
   EngineModel m_Model;
 };
 
--- a/packages/decide/path_repair.cpp
+++ b/packages/decide/path_repair.cpp
@@ -38,7 +38,7 @@
         Record.m_Service != First->m_Record.m_Service ||
         Record.m_Layers.m_First >= Record.m_Layers.m_End)
       continue;
-    const double Taken = Chains.memoryTaken(Known);
+    const double Taken = Chains.expectedTaken(Engines, Known, Now);
     if (Taken >= 1)
       continue;
     const bool Crosses = Record.m_DataCentre != First->m_Record.m_DataCentre;
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -58,6 +58,8 @@
   std::string describe(const decide::Chain &Of) const;
   void logSend(const decide::Chain &To) const;
   void logNoChain() const;
+  void logRefusal(const decide::FleetEndpoint *At, const std::string &Address,
+                  unsigned Status) const;
   boost::asio::awaitable<std::optional<decide::ForwardStep>> sendTo(Target To);
   boost::asio::awaitable<std::optional<decide::ForwardStep>>
   exchange(Target To);
--- a/packages/forward/forward_choice.cpp
+++ b/packages/forward/forward_choice.cpp
@@ -39,7 +39,7 @@
   const double Fill =
       m_Shared.chainsOf(m_Service)->fill(m_Shared.m_Fleet, Of, Now);
   return Of.m_DataCentre.str() + (Of.m_Crosses ? " crossing" : "") + " fill " +
-         std::to_string(std::lround(Fill * 100)) + "% report " +
+         router::percentText(Fill) + " report " +
          (First && First->m_Load
               ? router::millisText(Now - First->m_LoadAt) + " ms old"
               : "none");
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -1,6 +1,7 @@
 // One send of a request, from the connection to the end of the answer.
 #include "decide/answer_rule.h"
 #include "forward/forward_call.h"
+#include "router/log.h"
 
 namespace mimosadale::forward {
 
@@ -94,7 +95,9 @@
 // one before it.
 ForwardStep ForwardCall::faultAt(const std::string &Address, unsigned Status) {
   decide::EndpointSet Lost;
-  if (const auto *At = m_Shared.m_Fleet.findByAddress(Address)) {
+  const auto *At = m_Shared.m_Fleet.findByAddress(Address);
+  logRefusal(At, Address, Status);
+  if (At) {
     const EndpointId Id = At->m_Record.m_Id;
     Lost.insert(Id);
     // A refusal after a stall is that of a lost engine; one at once may mean
@@ -115,6 +118,25 @@
   return fault(SendFault::SaidNotRun, Lost);
 }
 
+// What was believed of the engine that refused, beside its refusal.
+void ForwardCall::logRefusal(const decide::FleetEndpoint *At,
+                             const std::string &Address,
+                             unsigned Status) const {
+  const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
+  const Instant Now = ForwardState::now();
+  router::logEvent(
+      schema::INFO, "endpoint_refused",
+      {{"request", m_Facts.m_Id.str()},
+       {"first", m_Target.m_Endpoint.str()},
+       {"refused_by", At ? At->m_Record.m_Id.str() : Address},
+       {"status", std::to_string(Status)},
+       {"after_ms", router::millisText(Now - m_SentAt)},
+       {"taken", At && Chains ? router::percentText(Chains->memoryTaken(*At))
+                              : "unknown"},
+       {"report_age_ms",
+        At && At->m_Load ? router::millisText(Now - At->m_LoadAt) : "none"}});
+}
+
 net::HttpRequest ForwardCall::encode(const Target &To) const {
   platform::ForwardHeaders Added;
   Added.m_Left = m_Run->end() - ForwardState::now();
--- a/packages/router/log.cpp
+++ b/packages/router/log.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
+#include <cmath>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -112,6 +113,10 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
 }
 
+std::string percentText(double Part) {
+  return std::to_string(std::lround(Part * 100)) + "%";
+}
+
 void setUpLog(const schema::LogSettings &Settings, const std::string &Node) {
   AsJson = Settings.form() == schema::JSON;
   const std::string Pattern =
--- a/packages/router/log.h
+++ b/packages/router/log.h
@@ -21,6 +21,10 @@
 /// Whole milliseconds, as the value of a field. Safe from any thread.
 std::string millisText(Duration Time);
 
+/// A part of one as whole percents, as the value of a field. Safe from any
+/// thread.
+std::string percentText(double Part);
+
 /// Sets level and form; the level may be set again at any time. \pre The log
 /// library is initialised. Safe from any thread.
 void setUpLog(const schema::LogSettings &Settings, const std::string &Node);
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -239,11 +239,58 @@
   const auto &Chains = Router.chains();
   const Chain &X = Chains[0].m_DataCentre.str() == "x" ? Chains[0] : Chains[1];
   CHECK(Router.fill(Made, X, T0) > 0.89);
-  CHECK(Router.fullest(Made, X).str() == "x2");
+  CHECK(Router.fullest(Made, X, T0).str() == "x2");
   Made.onFull(EndpointId("x3"), T0 + 1s);
   CHECK(Router.fill(Made, X, T0) == 1);
 }
 
+TEST_CASE(
+    "many routers, one tight engine that none of them has asked: its chain "
+    "is full by the requests on it") {
+  // An l4 with 11 layers has room for some 30 requests, the others for
+  // hundreds.
+  Fleet Made;
+  const LayerRange Ranges[] = {{0, 10},  {10, 20}, {20, 30}, {30, 41},
+                               {41, 51}, {51, 61}, {61, 71}, {71, 80}};
+  for (const std::string Centre : {"x", "y"})
+    for (std::uint32_t I = 0; I < 8; ++I) {
+      const bool Tight = Centre == "x" && I == 3;
+      Made.put(engine(Centre + std::to_string(I), Tight ? "l4" : "a100s",
+                      Ranges[I], Centre),
+               T0);
+    }
+  EngineModel Usual = model();
+  Usual.m_UsualPrompt = 760;
+  Usual.m_UsualAnswer = 170;
+  ChainRouter Router;
+  Router.rebuild(Made, Llm, Usual);
+  REQUIRE(Router.chains().size() == 2);
+  const auto &Chains = Router.chains();
+  const Chain &X = Chains[0].m_DataCentre.str() == "x" ? Chains[0] : Chains[1];
+  // This router has a request or two of the 40 there; the first engines tell
+  // how many they run.
+  EngineLoadReport Busy;
+  Busy.m_KvTotal = 1e6;
+  Busy.m_KvUsed = 2e5;
+  Busy.m_Running = 40;
+  Made.onReport(EndpointId("x0"), Busy, T0);
+  Made.onReport(EndpointId("y0"), Busy, T0);
+  CHECK(Router.fullest(Made, X, T0).str() == "x3");
+  Random Rng(7);
+  for (int I = 0; I < 100; ++I) {
+    const Chain *Chosen =
+        Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng);
+    REQUIRE(Chosen);
+    CHECK(Chosen->m_DataCentre.str() == "y");
+  }
+  // Its own recent word goes before the estimate.
+  EngineLoadReport Empty;
+  Empty.m_KvTotal = 318000;
+  Empty.m_KvUsed = 30000;
+  Made.onReport(EndpointId("x3"), Empty, T0);
+  CHECK(Router.fill(Made, X, T0) < 0.3);
+}
+
 TEST_CASE("requests spread over chains by the room that they have") {
   Fleet Made;
   for (const std::string Centre : {"x", "y"})
