An engine that refuses a part it does not hold is left out until the registry tells

Cause: an engine that restarted empty or gives layers up refuses at once with room left; each of 68 routers came back after 60 ms until the registry told (27 refusals with 421 in 1.2 s at one engine in the logs of 11 routers). Ruled out: leaving engines (the registry says so), full ones (their report says so). Change: decide/answer_rule: 60 ms for a full engine, a second for one that refuses a part although its recent report shows room, or with 421. The test calls the new function, so it did not build before.

--- a/packages/decide/answer_rule.cpp
+++ b/packages/decide/answer_rule.cpp
@@ -6,6 +6,7 @@
 
 // HTTP statuses (RFC 9110, section 15).
 constexpr unsigned RequestTimeout = 408;
+constexpr unsigned MisdirectedRequest = 421;
 constexpr unsigned TooManyRequests = 429; // RFC 6585, section 4
 constexpr unsigned FirstServerError = 500;
 constexpr unsigned ServiceUnavailable = 503;
@@ -14,6 +15,17 @@
 // answer at once when they are full.
 constexpr Duration RefusalOfLost = std::chrono::milliseconds(900);
 
+// Pause after a refusal for want of a place: about the time in which one of a
+// few hundred requests ends.
+constexpr Duration FullPause = std::chrono::milliseconds(60);
+
+// Pause after a refusal of a part that an engine does not hold, or no longer
+// serves: the interval at which many routers read the registry.
+constexpr Duration NotHeldPause = std::chrono::milliseconds(1000);
+
+// Part of its memory below which an engine has room for any usual request.
+constexpr double RoomLeft = 0.8;
+
 // A promise of "not run" without the endpoint's word would be false.
 bool promisesNotRun(unsigned Status) {
   return Status == RequestTimeout || Status == TooManyRequests ||
@@ -36,6 +48,11 @@
   return SendFault::Failed;
 }
 
+Duration pauseAfterRefusal(unsigned Status, std::optional<double> Taken) {
+  const bool Room = Taken && *Taken < RoomLeft;
+  return Status == MisdirectedRequest || Room ? NotHeldPause : FullPause;
+}
+
 bool meansLost(unsigned Status, Duration After) {
   return Status == ServiceUnavailable && After > RefusalOfLost;
 }
--- a/packages/decide/answer_rule.h
+++ b/packages/decide/answer_rule.h
@@ -5,6 +5,7 @@
 #include "base/units.h"
 #include "decide/forward_run.h"
 
+#include <optional>
 #include <variant>
 
 namespace mimosadale::decide {
@@ -30,6 +31,13 @@
 /// engine of the path is lost, rather than full.
 bool meansLost(unsigned Status, Duration After);
 
+/// For how long an engine that refused a part of a path at once is left out of
+/// paths. One that is full has a place again when the next request ends; one
+/// that does not hold the part, or gives it up, goes on refusing until the
+/// registry tells what it holds.
+/// \param Taken the part of its memory that is taken, by its own recent word.
+Duration pauseAfterRefusal(unsigned Status, std::optional<double> Taken);
+
 } // namespace mimosadale::decide
 
 #endif
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -16,9 +16,8 @@
 constexpr Duration MostIdle = std::chrono::seconds(8);
 constexpr Duration MostIdleOnce = std::chrono::milliseconds(300);
 
-// Pause after a refusal for want of a place: about the time in which one of a
-// few hundred requests ends.
-constexpr Duration FullPause = std::chrono::milliseconds(60);
+// Age up to which an engine's report explains its refusal.
+constexpr Duration RecentReport = std::chrono::milliseconds(500);
 
 // Whole answers longer than this are not taken in one piece.
 constexpr std::size_t MostAnswerBytes = 16u << 20;
@@ -106,14 +105,19 @@
       m_Shared.suspect(Id, "refused after a stall");
     else
       m_Shared.m_Accused.insert(Id);
-    if (Status == 503)
-      m_Shared.m_Fleet.onFull(Id, ForwardState::now() + FullPause);
+    const Instant Now = ForwardState::now();
+    std::optional<double> Taken;
+    const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
+    if (Chains && At->m_Load && Now - At->m_LoadAt < RecentReport)
+      Taken = Chains->memoryTaken(*At);
+    m_Shared.m_Fleet.onFull(Id, Now + decide::pauseAfterRefusal(Status, Taken));
   } else {
     // Its own queue is full: this request goes elsewhere, others may fit.
     Lost.insert(m_Target.m_Endpoint);
     if (!m_Target.m_Path.empty())
       m_Shared.m_Fleet.onFull(m_Target.m_Endpoint,
-                              ForwardState::now() + FullPause);
+                              ForwardState::now() +
+                                  decide::pauseAfterRefusal(Status, {}));
   }
   return fault(SendFault::SaidNotRun, Lost);
 }
--- a/tests/unit/forward_choice_test.cpp
+++ b/tests/unit/forward_choice_test.cpp
@@ -89,6 +89,26 @@
   CHECK_FALSE(meansLost(421, 2s));
 }
 
+TEST_CASE("an engine gives up a part, or lost it in a restart: many routers do "
+          "not go on sending to it until the registry tells") {
+  // A full engine has a place again soon; without its word it may be full.
+  CHECK(pauseAfterRefusal(503, 0.97) < 100ms);
+  CHECK(pauseAfterRefusal(503, std::nullopt) < 100ms);
+  // With room left it refuses the part itself.
+  CHECK(pauseAfterRefusal(503, 0.3) >= 1s);
+  CHECK(pauseAfterRefusal(421, std::nullopt) >= 1s);
+  // A router that sends a request a second to its chain is refused once in the
+  // two seconds that a restart takes to show in the registry, not 20 times.
+  unsigned Refused = 0;
+  Instant Closed{};
+  for (Instant Now = T0; Now < T0 + 2s; Now += 100ms)
+    if (Now >= Closed) {
+      ++Refused;
+      Closed = Now + pauseAfterRefusal(421, std::nullopt);
+    }
+  CHECK(Refused <= 2);
+}
+
 TEST_CASE("engines are asked as often as the reason wants, and not more") {
   const EndpointId Engine("a");
   const auto Asked = [&](ReportReason Why, std::size_t Routers) {
