A lent path comes to no engine twice; the pause after a refusal follows the registry

Cause: where the rest of a broken chain lies in the middle of what a large engine holds, the lent path used that engine before and after it. Engines refuse such a path with 400; it was taken for a full first engine, which closed its whole chain too. And the pause of one second was meant for 68 routers; six read the registry every 200 ms. Ruled out: the estimate of the fill (the engines' reports in the log agree). Change: fewestLent joins the two uses into one span; registryPause(routers) moved to decide and used for both. The new test fails without the join.

--- a/packages/decide/answer_rule.cpp
+++ b/packages/decide/answer_rule.cpp
@@ -19,10 +19,6 @@
 // few hundred requests ends.
 constexpr Duration FullPause = std::chrono::milliseconds(60);
 
-// Pause after a refusal of a part that an engine does not hold, or no longer
-// serves: the interval at which many routers read the registry.
-constexpr Duration NotHeldPause = std::chrono::milliseconds(1000);
-
 // Part of its memory below which an engine has room for any usual request.
 constexpr double RoomLeft = 0.8;
 
@@ -48,9 +44,10 @@
   return SendFault::Failed;
 }
 
-Duration pauseAfterRefusal(unsigned Status, std::optional<double> Taken) {
+Duration pauseAfterRefusal(unsigned Status, std::optional<double> Taken,
+                           Duration Registry) {
   const bool Room = Taken && *Taken < RoomLeft;
-  return Status == MisdirectedRequest || Room ? NotHeldPause : FullPause;
+  return Status == MisdirectedRequest || Room ? Registry : FullPause;
 }
 
 bool meansLost(unsigned Status, Duration After) {
--- a/packages/decide/answer_rule.h
+++ b/packages/decide/answer_rule.h
@@ -36,7 +36,9 @@
 /// that does not hold the part, or gives it up, goes on refusing until the
 /// registry tells what it holds.
 /// \param Taken the part of its memory that is taken, by its own recent word.
-Duration pauseAfterRefusal(unsigned Status, std::optional<double> Taken);
+/// \param Registry the pause between two reads of the registry.
+Duration pauseAfterRefusal(unsigned Status, std::optional<double> Taken,
+                           Duration Registry);
 
 } // namespace mimosadale::decide
 
--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -25,8 +25,20 @@
 constexpr Duration LongestFailurePause = std::chrono::milliseconds(1000);
 constexpr Duration TurnPause = std::chrono::milliseconds(20);
 
+// Pauses between reads of the registry, for few routers, for each router, and
+// at most: half of the shortest time in which a leaving endpoint must get
+// nothing more.
+constexpr Duration ShortestRegistryPause = std::chrono::milliseconds(200);
+constexpr Duration RegistryPausePerRouter = std::chrono::milliseconds(15);
+constexpr Duration LongestRegistryPause = std::chrono::milliseconds(1000);
+
 } // namespace
 
+Duration registryPause(std::size_t Routers) {
+  return std::clamp(RegistryPausePerRouter * static_cast<int>(Routers),
+                    ShortestRegistryPause, LongestRegistryPause);
+}
+
 bool RowCache::take(const std::vector<CachedRow> &Rows, std::uint64_t Version,
                     bool Whole) {
   if (Version < m_Version)
--- a/packages/decide/row_cache.h
+++ b/packages/decide/row_cache.h
@@ -4,6 +4,7 @@
 
 #include "base/units.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -50,6 +51,10 @@
   bool m_Known = false;
 };
 
+/// The pause between two reads of the registry while it changes: the more
+/// routers read it, the longer. Safe from any thread.
+Duration registryPause(std::size_t Routers);
+
 /// Where a router reads a table.
 enum class RowSource { Store, Peer };
 
--- a/packages/decide/tiling.cpp
+++ b/packages/decide/tiling.cpp
@@ -46,6 +46,20 @@
   return Found;
 }
 
+// An engine that is used on both sides of others holds their layers too: it
+// runs the whole span, since engines refuse a path that comes to one of them
+// twice.
+void joinRepeats(Path &Of) {
+  for (std::size_t I = 0; I < Of.size(); ++I)
+    for (std::size_t J = Of.size() - 1; J > I; --J)
+      if (Of[J].m_Endpoint == Of[I].m_Endpoint) {
+        Of[I].m_Layers.m_End = Of[J].m_Layers.m_End;
+        Of.erase(Of.begin() + static_cast<std::ptrdiff_t>(I) + 1,
+                 Of.begin() + static_cast<std::ptrdiff_t>(J) + 1);
+        break;
+      }
+}
+
 } // namespace
 
 Path fewestStages(const std::vector<StagePlan> &Held, std::uint32_t Layers) {
@@ -65,7 +79,9 @@
     Offers.push_back({&Each, 0});
   for (const StagePlan &Each : Lent)
     Offers.push_back({&Each, LentLayer});
-  return cheapest(Offers, Layers);
+  Path Found = cheapest(Offers, Layers);
+  joinRepeats(Found);
+  return Found;
 }
 
 std::vector<Path> disjointTilings(std::vector<StagePlan> &Held,
--- a/packages/decide/tiling.h
+++ b/packages/decide/tiling.h
@@ -13,7 +13,7 @@
 Path fewestStages(const std::vector<StagePlan> &Held, std::uint32_t Layers);
 
 /// The tiling that uses the layers of \p Lent as little as it can beside those
-/// of \p Own; empty when there is none. Safe from any thread.
+/// of \p Own, no engine twice; empty when there is none. Safe from any thread.
 Path fewestLent(const std::vector<StagePlan> &Own,
                 const std::vector<StagePlan> &Lent, std::uint32_t Layers);
 
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -110,14 +110,17 @@
     const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
     if (Chains && At->m_Load && Now - At->m_LoadAt < RecentReport)
       Taken = Chains->memoryTaken(*At);
-    m_Shared.m_Fleet.onFull(Id, Now + decide::pauseAfterRefusal(Status, Taken));
+    m_Shared.m_Fleet.onFull(
+        Id, Now + decide::pauseAfterRefusal(Status, Taken,
+                                            m_Shared.registryPause()));
   } else {
     // Its own queue is full: this request goes elsewhere, others may fit.
     Lost.insert(m_Target.m_Endpoint);
     if (!m_Target.m_Path.empty())
-      m_Shared.m_Fleet.onFull(m_Target.m_Endpoint,
-                              ForwardState::now() +
-                                  decide::pauseAfterRefusal(Status, {}));
+      m_Shared.m_Fleet.onFull(
+          m_Target.m_Endpoint,
+          ForwardState::now() +
+              decide::pauseAfterRefusal(Status, {}, m_Shared.registryPause()));
   }
   return fault(SendFault::SaidNotRun, Lost);
 }
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -6,6 +6,7 @@
 #include "decide/fleet.h"
 #include "decide/retry_budget.h"
 #include "decide/route_table.h"
+#include "decide/row_cache.h"
 #include "net/client.h"
 #include "net/upstream.h"
 #include "platform/store_client.h"
@@ -44,6 +45,11 @@
   /// served.
   bool ready() const { return m_Routes.current() && m_RegistryRead; }
 
+  /// The pause between two reads of the registry while it changes.
+  Duration registryPause() const {
+    return decide::registryPause(m_RoutersRead ? m_Routers : 1);
+  }
+
   /// Distrusts an endpoint and logs it, if that is news.
   void suspect(const EndpointId &Endpoint, const std::string &Why);
 
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -25,15 +25,10 @@
 // Longest wait that another router is granted.
 constexpr Duration LongestPeerWait = std::chrono::seconds(1);
 
-// Pauses between calls of a feed while changes come: shorter than the time in
-// which a change must be in force, long enough to take several at once.
+// Pause between calls of the configuration's feed while changes come: shorter
+// than the time in which a change must be in force, long enough to take several
+// at once.
 constexpr Duration ConfigPause = std::chrono::milliseconds(20);
-constexpr Duration RegistryPause = std::chrono::milliseconds(200);
-
-// The registry's pause grows with the routers that all read it, up to half of
-// the shortest time in which a leaving endpoint must get nothing more.
-constexpr Duration RegistryPausePerRouter = std::chrono::milliseconds(15);
-constexpr Duration LongestRegistryPause = std::chrono::milliseconds(1000);
 
 // Pause between tries to register this router, and between changes of the
 // routers' table.
@@ -66,7 +61,7 @@
   };
   m_Registry.m_Name = platform::RegistryTable;
   m_Registry.m_FromRouters = true;
-  m_Registry.m_Pause = [this] { return registryPause(); };
+  m_Registry.m_Pause = [this] { return m_Shared.registryPause(); };
   m_Registry.m_Take = [this](const platform::Rows &Changes, bool Whole,
                              decide::RowSource) {
     takeRegistry(Changes, Whole);
@@ -79,15 +74,6 @@
   };
 }
 
-// All routers read the registry, the less often the more they are.
-Duration StoreWatch::registryPause() const {
-  if (!m_Shared.m_RoutersRead)
-    return RegistryPause;
-  return std::clamp(RegistryPausePerRouter *
-                        static_cast<int>(m_Shared.m_Routers),
-                    RegistryPause, LongestRegistryPause);
-}
-
 asio::awaitable<void> StoreWatch::followConfig() { co_await follow(m_Config); }
 
 asio::awaitable<void> StoreWatch::followRegistry() {
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -56,7 +56,6 @@
     std::set<boost::asio::steady_timer *> m_Waiting; // for a change
   };
 
-  Duration registryPause() const;
   boost::asio::awaitable<void> follow(Table &Of);
   boost::asio::awaitable<platform::Rows> readOnce(Table &Of, bool Whole);
   std::string ownRow() const;
--- a/tests/unit/forward_choice_test.cpp
+++ b/tests/unit/forward_choice_test.cpp
@@ -3,6 +3,7 @@
 #include "decide/answer_rule.h"
 #include "decide/plain_router.h"
 #include "decide/report_schedule.h"
+#include "decide/row_cache.h"
 
 #include <doctest/doctest.h>
 
@@ -92,11 +93,11 @@
 TEST_CASE("an engine gives up a part, or lost it in a restart: many routers do "
           "not go on sending to it until the registry tells") {
   // A full engine has a place again soon; without its word it may be full.
-  CHECK(pauseAfterRefusal(503, 0.97) < 100ms);
-  CHECK(pauseAfterRefusal(503, std::nullopt) < 100ms);
+  CHECK(pauseAfterRefusal(503, 0.97, 1s) < 100ms);
+  CHECK(pauseAfterRefusal(503, std::nullopt, 1s) < 100ms);
   // With room left it refuses the part itself.
-  CHECK(pauseAfterRefusal(503, 0.3) >= 1s);
-  CHECK(pauseAfterRefusal(421, std::nullopt) >= 1s);
+  CHECK(pauseAfterRefusal(503, 0.3, 1s) == 1s);
+  CHECK(pauseAfterRefusal(421, std::nullopt, 1s) == 1s);
   // A router that sends a request a second to its chain is refused once in the
   // two seconds that a restart takes to show in the registry, not 20 times.
   unsigned Refused = 0;
@@ -104,9 +105,11 @@
   for (Instant Now = T0; Now < T0 + 2s; Now += 100ms)
     if (Now >= Closed) {
       ++Refused;
-      Closed = Now + pauseAfterRefusal(421, std::nullopt);
+      Closed = Now + pauseAfterRefusal(421, std::nullopt, registryPause(68));
     }
   CHECK(Refused <= 2);
+  // Few routers read the registry sooner, and use the engine again sooner.
+  CHECK(pauseAfterRefusal(421, std::nullopt, registryPause(6)) <= 200ms);
 }
 
 TEST_CASE("engines are asked as often as the reason wants, and not more") {
@@ -124,7 +127,17 @@
   // up is still followed.
   CHECK(Asked(ReportReason::Load, 6) > 2 * Asked(ReportReason::Load, 68));
   CHECK(Asked(ReportReason::Load, 68) == Asked(ReportReason::Load, 340));
-  CHECK(Asked(ReportReason::Filling, 6) == Asked(ReportReason::Filling, 340));
+  for (const std::size_t Routers : {6, 16, 68, 340}) {
+    CHECK(Asked(ReportReason::Filling, Routers) >
+          Asked(ReportReason::Load, Routers));
+    CHECK(Asked(ReportReason::Filling, Routers) >= 10);
+  }
+  CHECK(Asked(ReportReason::Filling, 6) == Asked(ReportReason::Filling, 16));
+  // At the size aimed for an engine is not asked by all of 340 routers more
+  // than 400 times a second, whatever the reason but a request that waits.
+  for (const ReportReason Why :
+       {ReportReason::Load, ReportReason::Filling, ReportReason::Suspect})
+    CHECK(Asked(Why, 340) * 340 <= 400 * 10);
   // One reason counts for the other.
   ReportSchedule Schedule;
   CHECK(Schedule.due(Engine, ReportReason::Load, 6, T0));
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -331,6 +331,19 @@
   CHECK(fewestStages({{EndpointId("a"), {0, 30}}}, 80).empty());
 }
 
+TEST_CASE("a lent path comes to no engine twice") {
+  // What is left of a chain lies in the middle of what one large engine holds.
+  const std::vector<StagePlan> Own{{EndpointId("f"), {10, 30}},
+                                   {EndpointId("g"), {40, 80}}};
+  const std::vector<StagePlan> Whole{{EndpointId("large"), {0, 40}},
+                                     {EndpointId("rest"), {40, 80}}};
+  const Path Found = fewestLent(Own, Whole, 80);
+  CHECK(tilesExactly(Found, 80));
+  EndpointSet Seen;
+  for (const StagePlan &Each : Found)
+    CHECK(Seen.insert(Each.m_Endpoint).second);
+}
+
 TEST_CASE("of two chains one loses an engine: the other lends its layers") {
   Fleet Made;
   for (std::uint32_t I = 0; I < 4; ++I)
