--- a/packages/decide/layer_orders.cpp
+++ b/packages/decide/layer_orders.cpp
@@ -1,6 +1,7 @@
 #include "decide/layer_orders.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mimosadale::decide {
 
@@ -66,42 +67,19 @@
   std::set<DataCentreId> Changing;
   for (const auto &[Id, Each] : m_Pending)
     Changing.insert(Engines.find(Id)->m_Record.m_DataCentre);
-  std::set<EndpointId> Ordered;
-  for (const PlaceOrder &Each : Orders)
-    Ordered.insert(Each.m_Engine);
   // While a data centre changes, no engine gives up what another only is about
   // to hold.
   std::erase_if(Orders, [&](const PlaceOrder &Each) {
     const EndpointRecord &Now = Engines.find(Each.m_Engine)->m_Record;
-    const LayerRange Held = Now.m_Layers;
-    if (m_RefusedAt.contains(Each.m_Engine) ||
-        m_Pending.contains(Each.m_Engine))
-      return true;
-    if (Held.m_End == 0 || !Changing.contains(Now.m_DataCentre))
-      return false;
-    for (std::uint32_t L = Held.m_First; L < Held.m_End; ++L)
-      if ((L < Each.m_Layers.m_First || L >= Each.m_Layers.m_End) &&
-          !heldByOther(Engines, Now, L, Ordered))
-        return true;
-    return false;
+    const bool GivesUp = Now.m_Layers.m_First < Each.m_Layers.m_First ||
+                         Now.m_Layers.m_End > Each.m_Layers.m_End;
+    return m_RefusedAt.contains(Each.m_Engine) ||
+           (GivesUp && Now.m_Layers.m_End > 0 &&
+            Changing.contains(Now.m_DataCentre));
   });
   return Orders;
 }
 
-bool LayerOrders::heldByOther(const Fleet &Engines, const EndpointRecord &Than,
-                              std::uint32_t Layer,
-                              const std::set<EndpointId> &Ordered) const {
-  for (const auto &[Id, Known] : Engines.all()) {
-    const EndpointRecord &Record = Known.m_Record;
-    if (Id != Than.m_Id && Record.m_Service == Than.m_Service &&
-        Record.m_DataCentre == Than.m_DataCentre && Known.usable() &&
-        Record.m_Layers.m_First <= Layer && Layer < Record.m_Layers.m_End &&
-        !m_Pending.contains(Id) && !Ordered.contains(Id))
-      return true;
-  }
-  return false;
-}
-
 void LayerOrders::onSent(const PlaceOrder &Order, const EngineModel &Model,
                          Instant Now) {
   const double Share =
--- a/packages/decide/layer_orders.h
+++ b/packages/decide/layer_orders.h
@@ -5,7 +5,6 @@
 #include "decide/layer_planner.h"
 
 #include <map>
-#include <set>
 #include <vector>
 
 namespace mimosadale::decide {
@@ -43,10 +42,6 @@
   };
 
   void settle(const Fleet &Engines, Instant Now);
-  // Whether an engine of the same data centre holds \p Layer now and keeps it.
-  bool heldByOther(const Fleet &Engines, const EndpointRecord &Than,
-                   std::uint32_t Layer,
-                   const std::set<EndpointId> &Ordered) const;
   bool waitsForEngines(const Fleet &Engines, const ServiceId &Service,
                        Instant Now);
 
--- a/packages/decide/layer_planner.cpp
+++ b/packages/decide/layer_planner.cpp
@@ -15,13 +15,8 @@
 // Free part of its memory that an engine keeps at least when a gap is filled.
 constexpr double LeastFree = 0.05;
 
-// Free part below which an engine is tight and hands layers on: the room that
-// is left decides how many requests its whole chain carries.
-constexpr double TightFree = 0.33;
-
-// Free part from which on an engine that no chain uses counts as idle, although
-// it holds a few layers.
-constexpr double SpareFree = 0.70;
+// Free part below which an engine is tight and hands layers on.
+constexpr double TightFree = 0.28;
 
 // Free part at which no more engines are drawn into filling a gap: each one
 // that is reloads. Less while an engine that leaves still serves the gap, since
@@ -104,11 +99,22 @@
                          ? GapFree
                          : LeavingGapFree;
       fillGap(Left);
-    } else {
-      useIdle(Chains, Left);
+      return m_Orders;
     }
     for (const Path &Each : Chains)
-      relieve(Each);
+      if (resolveOverlap(Each))
+        return m_Orders;
+    // Engines that no chain uses are as good as idle.
+    std::vector<EndpointId> Idle;
+    for (const Member &Each : m_All)
+      if (Each.layers() == 0)
+        Idle.push_back(Each.m_Id);
+    for (const StagePlan &Each : Left)
+      Idle.push_back(Each.m_Endpoint);
+    if (!Idle.empty())
+      useIdle(Chains, Idle.front());
+    else
+      balance(Chains);
     return m_Orders;
   }
 
@@ -123,7 +129,6 @@
   }
 
   void order(const EndpointId &Id, LayerRange Layers) {
-    m_Settled.insert(Id);
     if (member(Id).m_Held != Layers)
       m_Orders.push_back({Id, Layers});
   }
@@ -237,109 +242,94 @@
       order(BestEngines[I].m_Id, BestRanges[I]);
   }
 
-  bool tight(const Member &Of) const {
-    return freePart(Of, Of.layers()) < TightFree;
+  // Two neighbours that hold the same layers: each keeps a part, by memory.
+  bool resolveOverlap(const Path &Chain) {
+    for (std::size_t I = 0; I + 1 < Chain.size(); ++I) {
+      const Member &Left = member(Chain[I].m_Endpoint);
+      const Member &Right = member(Chain[I + 1].m_Endpoint);
+      if (Right.m_Held.m_First >= Left.m_Held.m_End ||
+          Right.m_Held.m_First <= Left.m_Held.m_First ||
+          Right.m_Held.m_End <= Left.m_Held.m_End)
+        continue;
+      const auto Ranges =
+          split({Left, Right}, {Left.m_Held.m_First, Right.m_Held.m_End});
+      if (Ranges.empty())
+        continue;
+      const std::uint32_t Cut =
+          std::clamp(Ranges[0].m_End, Right.m_Held.m_First, Left.m_Held.m_End);
+      order(Left.m_Id, {Left.m_Held.m_First, Cut});
+      order(Right.m_Id, {Cut, Right.m_Held.m_End});
+      return true;
+    }
+    return false;
+  }
+
+  const Member *tightestOf(const std::vector<Path> &Chains) {
+    const Member *Found = nullptr;
+    for (const Path &Chain : Chains)
+      for (const StagePlan &Each : Chain) {
+        const Member &One = member(Each.m_Endpoint);
+        if (!Found ||
+            freePart(One, One.layers()) < freePart(*Found, Found->layers()))
+          Found = &One;
+      }
+    return Found;
   }
 
   // An idle engine takes the upper part of the tightest one's layers; that one
   // gives them up in the next plan.
-  void useIdle(const std::vector<Path> &Chains,
-               const std::vector<StagePlan> &Unused) {
-    const Member *Taker = nullptr;
-    for (const Member &Each : m_All)
-      if (Each.layers() == 0)
-        Taker = &Each;
-    for (const StagePlan &Each : Unused)
-      if (const Member &Spare = member(Each.m_Endpoint);
-          !Taker && freePart(Spare, Spare.layers()) > SpareFree)
-        Taker = &Spare;
-    const Member *Tight = nullptr;
-    for (const Path &Chain : Chains)
-      for (const StagePlan &Each : Chain)
-        if (const Member &One = member(Each.m_Endpoint);
-            !Tight ||
-            freePart(One, One.layers()) < freePart(*Tight, Tight->layers()))
-          Tight = &One;
-    if (!Taker || !Tight || !tight(*Tight) || Tight->layers() < 2)
+  void useIdle(const std::vector<Path> &Chains, const EndpointId &Idle) {
+    const Member &Tight = *tightestOf(Chains);
+    const Member &Taker = member(Idle);
+    // It already holds a part of the tight one's layers: that one gives it up.
+    if (Taker.layers() > 0 && Taker.m_Held.m_End == Tight.m_Held.m_End &&
+        Taker.m_Held.m_First > Tight.m_Held.m_First) {
+      order(Tight.m_Id, {Tight.m_Held.m_First, Taker.m_Held.m_First});
+      return;
+    }
+    if (freePart(Tight, Tight.layers()) > TightFree + LeastGain ||
+        Tight.layers() < 2)
       return;
-    const auto Ranges = split({*Tight, *Taker}, Tight->m_Held);
+    const auto Ranges = split({Tight, Taker}, Tight.m_Held);
     if (!Ranges.empty() && Ranges[1].m_First < Ranges[1].m_End)
-      order(Taker->m_Id, Ranges[1]);
+      order(Idle, Ranges[1]);
   }
 
-  // Tight engines of a whole chain hand layers to their neighbours: first the
-  // neighbour adds them, then, in a later plan, the tight one gives them up. An
-  // overlap of two engines with room is left as it is.
-  void relieve(const Path &Chain) {
-    for (std::size_t I = 0; I < Chain.size(); ++I) {
-      const Member &Tight = member(Chain[I].m_Endpoint);
-      if (!tight(Tight) || m_Settled.contains(Tight.m_Id))
-        continue;
-      const Member *Before = I > 0 ? &member(Chain[I - 1].m_Endpoint) : nullptr;
-      const Member *After =
-          I + 1 < Chain.size() ? &member(Chain[I + 1].m_Endpoint) : nullptr;
-      if ((After && giveUp(Tight, Tight, *After)) ||
-          (Before && giveUp(Tight, *Before, Tight)))
-        continue;
-      if (After && (!Before || freePart(*After, After->layers()) >
-                                   freePart(*Before, Before->layers())))
-        handOver(Tight, *After, Tight, *After);
-      else if (Before)
-        handOver(Tight, *Before, *Before, Tight);
-    }
+  // The tightest engine's neighbour with more room takes layers from its edge;
+  // the overlap is resolved in the next plan.
+  void balance(const std::vector<Path> &Chains) {
+    const Member &Tight = *tightestOf(Chains);
+    const double Free = freePart(Tight, Tight.layers());
+    if (Free > TightFree)
+      return;
+    for (const Path &Chain : Chains)
+      for (std::size_t I = 0; I < Chain.size(); ++I) {
+        if (Chain[I].m_Endpoint != Tight.m_Id)
+          continue;
+        const Member *Best = nullptr;
+        for (const std::size_t J : {I - 1, I + 1})
+          if (J < Chain.size()) {
+            const Member &Each = member(Chain[J].m_Endpoint);
+            if (!Best ||
+                freePart(Each, Each.layers()) > freePart(*Best, Best->layers()))
+              Best = &Each;
+          }
+        if (Best)
+          widenInto(*Best, Tight);
+        return;
+      }
   }
 
-  // The layer at which two neighbours part the layers of both by their memory;
-  // none if these do not follow each other.
-  std::optional<std::uint32_t> cutOf(const Member &Left,
-                                     const Member &Right) const {
-    if (Right.m_Held.m_First <= Left.m_Held.m_First ||
-        Right.m_Held.m_End <= Left.m_Held.m_End ||
-        Right.m_Held.m_First > Left.m_Held.m_End)
-      return std::nullopt;
+  void widenInto(const Member &Roomy, const Member &Tight) {
+    const bool Before = Roomy.m_Held.m_First < Tight.m_Held.m_First;
+    const Member &Left = Before ? Roomy : Tight;
+    const Member &Right = Before ? Tight : Roomy;
     const auto Ranges =
         split({Left, Right}, {Left.m_Held.m_First, Right.m_Held.m_End});
-    if (Ranges.empty())
-      return std::nullopt;
-    return Ranges[0].m_End;
-  }
-
-  // \p Tight, which is one of two neighbours that hold the same layers, gives
-  // up its part of them. \returns whether there was such a part.
-  bool giveUp(const Member &Tight, const Member &Left, const Member &Right) {
-    const auto Cut = cutOf(Left, Right);
-    if (!Cut || Right.m_Held.m_First == Left.m_Held.m_End)
-      return false;
-    const std::uint32_t At =
-        std::clamp(*Cut, Right.m_Held.m_First, Left.m_Held.m_End);
-    const LayerRange Kept = &Tight == &Left
-                                ? LayerRange{Tight.m_Held.m_First, At}
-                                : LayerRange{At, Tight.m_Held.m_End};
-    if (Kept == Tight.m_Held)
-      return false;
-    order(Tight.m_Id, Kept);
-    return true;
-  }
-
-  // \p Roomy adds layers from the edge of its neighbour \p Tight.
-  void handOver(const Member &Tight, const Member &Roomy, const Member &Left,
-                const Member &Right) {
-    const auto Cut = cutOf(Left, Right);
-    if (!Cut || m_Settled.contains(Roomy.m_Id))
-      return;
-    const LayerRange Wide =
-        &Roomy == &Left ? LayerRange{Roomy.m_Held.m_First,
-                                     std::max(Roomy.m_Held.m_End, *Cut)}
-                        : LayerRange{std::min(Roomy.m_Held.m_First, *Cut),
-                                     Roomy.m_Held.m_End};
-    const std::uint32_t Kept = &Tight == &Left ? *Cut - Tight.m_Held.m_First
-                                               : Tight.m_Held.m_End - *Cut;
-    const double After = std::min(freePart(Roomy, Wide.m_End - Wide.m_First),
-                                  freePart(Tight, Kept));
-    if (After < freePart(Tight, Tight.layers()) + LeastGain)
+    if (Ranges.empty() || tightest({Left, Right}, Ranges) <
+                              freePart(Tight, Tight.layers()) + LeastGain)
       return;
-    order(Roomy.m_Id, Wide);
-    m_Settled.insert(Tight.m_Id);
+    order(Roomy.m_Id, Before ? Ranges[0] : Ranges[1]);
   }
 
   const EngineModel &m_Model;
@@ -347,7 +337,6 @@
   std::vector<StagePlan> m_Leaving; // engines that leave and still serve
   double m_EnoughFree = GapFree;    // at which a gap counts as well filled
   std::vector<PlaceOrder> m_Orders;
-  EndpointSet m_Settled; // engines that this plan has decided on
 };
 
 } // namespace
--- a/packages/decide/layer_planner.h
+++ b/packages/decide/layer_planner.h
@@ -26,9 +26,9 @@
 /// - where nothing is held, all engines are split into chains;
 /// - a gap in a chain goes to idle engines, else to the engines around it, as
 ///   few of them as leave room for requests;
+/// - where two neighbours of a chain hold the same layers, one gives them up;
 /// - an idle engine takes half of the layers of the tightest one;
-/// - a roomier neighbour of a tight engine adds layers from its edge, and the
-///   tight one then gives them up.
+/// - a tight engine hands layers to a roomier neighbour.
 /// Engines that are suspect or leaving count as lost. Safe from any thread.
 std::vector<PlaceOrder> planLayers(const Fleet &Engines,
                                    const ServiceId &Service,
