--- a/packages/decide/report_schedule.cpp
+++ b/packages/decide/report_schedule.cpp
@@ -14,9 +14,11 @@
 constexpr Duration FillingInterval = std::chrono::milliseconds(400);
 constexpr Duration LoadInterval = std::chrono::milliseconds(800);
 
-// The interval for the load grows with the routers that all ask: from this many
-// on in proportion, up to the longest.
-constexpr int RoutersOfLoadInterval = 16;
+// The intervals for the load and for a distrusted engine grow with the routers
+// that all ask: from this many on in proportion, up to the longest.
+constexpr int RoutersOfIntervals = 16;
+constexpr Duration LongestSuspectInterval = std::chrono::milliseconds(1500);
+constexpr Duration LongestFillingInterval = std::chrono::milliseconds(1000);
 constexpr Duration LongestLoadInterval = std::chrono::milliseconds(2000);
 
 // The part taken from which on an engine fills up.
@@ -25,6 +27,11 @@
 // Time after which a report is forgotten: beyond the longest interval.
 constexpr Duration ForgetAfter = std::chrono::seconds(10);
 
+Duration grown(Duration Interval, Duration Longest, std::size_t Routers) {
+  return std::clamp(Interval * static_cast<int>(Routers) / RoutersOfIntervals,
+                    Interval, Longest);
+}
+
 Duration intervalOf(ReportReason Why, std::size_t Routers) {
   switch (Why) {
   case ReportReason::WaitedFor:
@@ -32,15 +39,13 @@
   case ReportReason::OnPath:
     return OnPathInterval;
   case ReportReason::Suspect:
-    return SuspectInterval;
+    return grown(SuspectInterval, LongestSuspectInterval, Routers);
   case ReportReason::Filling:
-    return FillingInterval;
+    return grown(FillingInterval, LongestFillingInterval, Routers);
   case ReportReason::Load:
     break;
   }
-  return std::clamp(LoadInterval * static_cast<int>(Routers) /
-                        RoutersOfLoadInterval,
-                    LoadInterval, LongestLoadInterval);
+  return grown(LoadInterval, LongestLoadInterval, Routers);
 }
 
 } // namespace
