A question for a report ends whatever goes wrong

Found by reading: an exception other than the project's own would have left the engine as asked for ever, and so out of every path. No case of it was seen.

--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -129,7 +129,8 @@
       m_Shared.m_Fleet.clear(Endpoint); // it answers; it has no report
     else
       Fault = "report: status " + std::to_string(Response.m_Status);
-  } catch (const Error &Wrong) {
+  } catch (const std::exception &Wrong) {
+    // Whatever it is: an engine whose question never ends would be left out.
     Fault = std::string("report: ") + Wrong.what();
   }
   m_Shared.m_Fleet.onAskEnded(Endpoint);
