A leaving told by another router is kept by the host list's floor

Cause: each router held the floor of the platform's host list for itself. Change: the floor lives in the endpoint directory and learns from notes too; notes of the host list bear the host's incarnation. Of one incarnation a leaving wins, a newer incarnation wins over any older one, so routers come to the same end in any order.

--- a/packages/decide/endpoint_directory.cpp
+++ b/packages/decide/endpoint_directory.cpp
@@ -107,24 +107,29 @@
 // Drops the choosers when an endpoint's use changed, and keeps the news.
 void EndpointDirectory::noteChange(const EndpointId &Endpoint, Entry &Changed) {
   const EndpointHealth &Health = Changed.m_Health;
+  const HostList::Word Host = m_Hosts.of(HostId(Changed.m_Declared.host()));
   tell(Endpoint, Changed, schema::NOTE_HOST_LIST,
-       Health.leavingBy(LeaveSource::HostList));
+       {Host.m_Leaving, Host.m_Incarnation});
   tell(Endpoint, Changed, schema::NOTE_ENDPOINT,
-       Health.leavingBy(LeaveSource::Endpoint));
+       {Health.leavingBy(LeaveSource::Endpoint), {}});
   tell(Endpoint, Changed, schema::NOTE_OPERATOR,
-       Health.leavingBy(LeaveSource::Operator));
+       {Health.leavingBy(LeaveSource::Operator), {}});
   tell(Endpoint, Changed, schema::NOTE_SUSPECT,
-       Health.state() != EndpointHealth::State::Usable);
+       {Health.state() != EndpointHealth::State::Usable, {}});
   if (Health.usable() == Changed.m_WasUsable)
     return;
   Changed.m_WasUsable = Health.usable();
   m_Choosers.erase({Changed.m_Declared.model(), Changed.m_Declared.version()});
 }
 
+// A newer incarnation is news only of a host that leaves: else each router
+// would tell each other one of every host when it first reads the list.
 void EndpointDirectory::tell(const EndpointId &Endpoint, Entry &Changed,
-                             schema::NoteKind Kind, bool Set) {
-  if (std::exchange(Changed.m_Told[Kind], Set) != Set)
-    m_Changes.push_back({Endpoint, Kind, Set});
+                             schema::NoteKind Kind, Told Now) {
+  const Told Before = std::exchange(Changed.m_Told[Kind], Now);
+  if (Before.m_Set != Now.m_Set ||
+      (Now.m_Set && Before.m_Incarnation < Now.m_Incarnation))
+    m_Changes.push_back({Endpoint, Kind, Now.m_Set, Now.m_Incarnation});
 }
 
 void EndpointDirectory::onSent(const EndpointId &Endpoint) {
@@ -162,10 +167,14 @@
   Entry *Held = find(Endpoint);
   if (!Held)
     return;
+  const auto Listed = static_cast<Incarnation>(Note.incarnation());
   switch (Note.kind()) {
-  case schema::NOTE_HOST_LIST:
-    Held->m_Health.setLeaving(LeaveSource::HostList, Note.set());
+  case schema::NOTE_HOST_LIST: {
+    const HostId Host(Held->m_Declared.host());
+    const auto Word = m_Hosts.onWord(Host, {Listed, Note.set()});
+    Held->m_Health.setLeaving(LeaveSource::HostList, Word.m_Leaving);
     break;
+  }
   case schema::NOTE_ENDPOINT:
     Held->m_Health.setLeaving(LeaveSource::Endpoint, Note.set());
     break;
@@ -176,17 +185,29 @@
     Held->m_Health.onPeerWord(Note.set(), Now);
     break;
   }
-  Held->m_Told[Note.kind()] = Note.set();
+  Held->m_Told[Note.kind()] = {Note.set(), Listed};
   noteChange(Endpoint, *Held);
 }
 
-void EndpointDirectory::replaceLeaving(
-    LeaveSource Source, const std::vector<std::string> &Subjects) {
+void EndpointDirectory::replaceDrained(
+    const std::vector<std::string> &Subjects) {
   const std::set<std::string> Named(Subjects.begin(), Subjects.end());
   for (auto &[Name, Held] : m_Entries) {
     const bool Leaving =
         Named.contains(Name.str()) || Named.contains(Held.m_Declared.host());
-    Held.m_Health.setLeaving(Source, Leaving);
+    Held.m_Health.setLeaving(LeaveSource::Operator, Leaving);
+    noteChange(Name, Held);
+  }
+}
+
+void EndpointDirectory::onHostList(const std::vector<schema::HostEntry> &List) {
+  for (const schema::HostEntry &Each : List)
+    m_Hosts.onWord(
+        HostId(Each.name()),
+        {static_cast<Incarnation>(Each.incarnation()), Each.leaving()});
+  for (auto &[Name, Held] : m_Entries) {
+    const HostId Host(Held.m_Declared.host());
+    Held.m_Health.setLeaving(LeaveSource::HostList, m_Hosts.of(Host).m_Leaving);
     noteChange(Name, Held);
   }
 }
--- a/packages/decide/endpoint_directory.h
+++ b/packages/decide/endpoint_directory.h
@@ -4,9 +4,11 @@
 
 #include "base/id.h"
 #include "decide/endpoint_health.h"
+#include "decide/host_list.h"
 #include "decide/path_chooser.h"
 #include "schema/generated/declaration.pb.h"
 #include "schema/generated/peer.pb.h"
+#include "schema/generated/rows.pb.h"
 
 #include <map>
 #include <memory>
@@ -21,6 +23,7 @@
   EndpointId m_Endpoint;
   schema::NoteKind m_Kind = schema::NOTE_SUSPECT;
   bool m_Set = false;
+  Incarnation m_Incarnation{}; // of its host, where the host list says so
 };
 
 /// One endpoint as `status` shows it.
@@ -70,10 +73,12 @@
   /// Takes what another router heard of an endpoint.
   void onNote(const schema::EndpointNote &Note, Instant Now);
 
-  /// Replaces everything that \p Source says: the subjects named, endpoints or
+  /// Replaces everything that operators said: the subjects named, endpoints or
   /// hosts and so all endpoints on them, leave; all others do not.
-  void replaceLeaving(LeaveSource Source,
-                      const std::vector<std::string> &Subjects);
+  void replaceDrained(const std::vector<std::string> &Subjects);
+
+  /// Takes a copy of the platform's list of hosts; see `HostList`.
+  void onHostList(const std::vector<schema::HostEntry> &List);
 
   /// The bound of silence for a call; see `EndpointHealth::silentBound`.
   Duration silentBound(const EndpointId &Endpoint, std::uint64_t Positions,
@@ -92,21 +97,26 @@
   bool isEngine(const EndpointId &Endpoint) const;
 
 private:
+  struct Told {
+    bool m_Set = false;
+    Incarnation m_Incarnation{};
+  };
   struct Entry {
     schema::Endpoint m_Declared;
     EndpointHealth m_Health;
     bool m_WasUsable = true;
-    std::map<schema::NoteKind, bool> m_Told; // as the other routers know it
+    std::map<schema::NoteKind, Told> m_Told; // as the other routers know it
   };
 
   Entry *find(const EndpointId &Endpoint);
   const Entry *find(const EndpointId &Endpoint) const;
   void noteChange(const EndpointId &Endpoint, Entry &Changed);
   void tell(const EndpointId &Endpoint, Entry &Changed, schema::NoteKind Kind,
-            bool Set);
+            Told Now);
   bool near(const schema::Endpoint &Declared) const;
 
   DataCentreId m_Here;
+  HostList m_Hosts;
   std::map<EndpointId, Entry> m_Entries;
   std::map<ModelRef, std::uint32_t> m_Layers;
   std::map<ModelRef, std::shared_ptr<const PathChooser>> m_Choosers;
--- a/packages/decide/host_list.cpp
+++ b/packages/decide/host_list.cpp
@@ -2,21 +2,18 @@
 
 namespace mimosadale::decide {
 
-std::vector<std::string>
-HostList::onList(const std::vector<schema::HostEntry> &List) {
-  for (const schema::HostEntry &Each : List) {
-    const HostId Name(Each.name());
-    const auto Listed = static_cast<Incarnation>(Each.incarnation());
-    const auto Held = m_Leaving.find(Name);
-    if (Held != m_Leaving.end() && Listed > Held->second)
-      m_Leaving.erase(Held);
-    if (Each.leaving() && !m_Leaving.contains(Name))
-      m_Leaving[Name] = Listed;
-  }
-  std::vector<std::string> Names;
-  for (const auto &[Name, Seen] : m_Leaving)
-    Names.push_back(Name.str());
-  return Names;
+HostList::Word HostList::onWord(const HostId &Host, Word Told) {
+  Word &Held = m_Hosts[Host];
+  if (Told.m_Incarnation > Held.m_Incarnation)
+    Held = Told;
+  else if (Told.m_Incarnation == Held.m_Incarnation)
+    Held.m_Leaving |= Told.m_Leaving;
+  return Held;
+}
+
+HostList::Word HostList::of(const HostId &Host) const {
+  const auto Found = m_Hosts.find(Host);
+  return Found == m_Hosts.end() ? Word() : Found->second;
 }
 
 } // namespace mimosadale::decide
--- a/packages/decide/host_list.h
+++ b/packages/decide/host_list.h
@@ -4,27 +4,35 @@
 
 #include "base/id.h"
 #include "base/units.h"
-#include "schema/generated/rows.pb.h"
 
 #include <map>
-#include <string>
-#include <vector>
 
 namespace mimosadale::decide {
 
 /// Remembers which hosts leave. The list is a floor, not the truth: a host that
 /// was ever seen leaving goes on leaving, whatever a later copy of the list
-/// says, until it is listed under a newer incarnation.
+/// says, until it is listed under a newer incarnation. So routers that saw
+/// different copies come to the same end, in whatever order they hear of them.
 ///
 /// \par Thread safety
 /// None.
 class HostList {
 public:
-  /// Takes a copy of the list. \returns the names of the hosts that leave.
-  std::vector<std::string> onList(const std::vector<schema::HostEntry> &List);
+  /// What is known of one host.
+  struct Word {
+    Incarnation m_Incarnation{};
+    bool m_Leaving = false;
+  };
+
+  /// Takes what a copy of the list says of \p Host, read here or by another
+  /// router. \returns what holds after it.
+  Word onWord(const HostId &Host, Word Told);
+
+  /// What holds of \p Host; not leaving if nothing was told.
+  Word of(const HostId &Host) const;
 
 private:
-  std::map<HostId, Incarnation> m_Leaving;
+  std::map<HostId, Word> m_Hosts;
 };
 
 } // namespace mimosadale::decide
--- a/packages/decide/membership.cpp
+++ b/packages/decide/membership.cpp
@@ -437,7 +437,8 @@
 
 bool Membership::mergeNote(const schema::EndpointNote &Note, bool Spread) {
   schema::EndpointNote &Held = m_Notes[noteKey(Note.name(), Note.kind())];
-  if (Note.version() <= Held.version())
+  if (std::pair(Note.incarnation(), Note.version()) <=
+      std::pair(Held.incarnation(), Held.version()))
     return false;
   Held = Note;
   m_FreshNotes.push_back(Note);
@@ -584,15 +585,18 @@
 }
 
 OutgoingMessages Membership::noteEndpoint(const std::string &Name,
-                                          schema::NoteKind Kind, bool Set) {
+                                          schema::NoteKind Kind, bool Set,
+                                          Incarnation Host) {
   OutgoingMessages Out;
   schema::EndpointNote &Held = m_Notes[noteKey(Name, Kind)];
-  if (Held.set() == Set)
+  const bool Older = raw(Host) < Held.incarnation();
+  if (Older || (Held.set() == Set && raw(Host) == Held.incarnation()))
     return Out;
   Held.set_name(Name);
   Held.set_kind(Kind);
   Held.set_version(Held.version() + 1);
   Held.set_set(Set);
+  Held.set_incarnation(raw(Host));
   addNote(Held);
   push(Out);
   return Out;
--- a/packages/decide/membership.h
+++ b/packages/decide/membership.h
@@ -68,10 +68,11 @@
   /// This router is leaving. \returns the news to send.
   OutgoingMessages leave();
 
-  /// This router learned what a source says of an endpoint. \returns the news
-  /// to send; none when it was known.
+  /// This router learned what a source says of an endpoint. \param Host the
+  /// incarnation of its host, of what the host list says. \returns the news to
+  /// send; none when it was known.
   OutgoingMessages noteEndpoint(const std::string &Name, schema::NoteKind Kind,
-                                bool Set);
+                                bool Set, Incarnation Host = {});
 
   /// Notes about endpoints that others sent since the last call.
   std::vector<schema::EndpointNote> takeEndpointNotes();
--- a/packages/router/config_watch.cpp
+++ b/packages/router/config_watch.cpp
@@ -170,15 +170,14 @@
       Draining.push_back(Row.subject());
   }
   m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
-    Directory.replaceLeaving(decide::LeaveSource::Operator, Draining);
+    Directory.replaceDrained(Draining);
   });
 }
 
 asio::awaitable<void> ConfigWatch::lookAtHosts() {
   const auto Hosts = co_await m_Shared.m_Objects.hosts();
-  const auto Leaving = m_HostList.onList(Hosts);
   m_Shared.m_Endpoints.with([&](decide::EndpointDirectory &Directory) {
-    Directory.replaceLeaving(decide::LeaveSource::HostList, Leaving);
+    Directory.onHostList(Hosts);
   });
 }
 
--- a/packages/router/config_watch.h
+++ b/packages/router/config_watch.h
@@ -4,7 +4,6 @@
 
 #include "base/units.h"
 #include "decide/adoption.h"
-#include "decide/host_list.h"
 #include "schema/generated/declaration.pb.h"
 #include "schema/generated/peer.pb.h"
 #include "schema/generated/rows.pb.h"
@@ -55,7 +54,6 @@
   PeerLink &m_Peers;
   boost::asio::strand<boost::asio::any_io_executor> m_Strand;
   decide::Adoption m_Adoption;
-  decide::HostList m_HostList;
   bool m_Fetching = false;
   std::uint64_t m_Looks = 0;
 };
--- a/packages/router/node.cpp
+++ b/packages/router/node.cpp
@@ -166,7 +166,7 @@
       for (const decide::EndpointChange &Each : Changes)
         m_Peers.send(m_Peers.with([&](decide::Membership &Members) {
           return Members.noteEndpoint(Each.m_Endpoint.str(), Each.m_Kind,
-                                      Each.m_Set);
+                                      Each.m_Set, Each.m_Incarnation);
         }));
       const std::size_t Alive =
           m_Peers.with([](const decide::Membership &Members) {
--- a/tests/unit/decide_test.cpp
+++ b/tests/unit/decide_test.cpp
@@ -1,6 +1,7 @@
 // Tables of cases for the smaller decisions.
 #include "decide/admission.h"
 #include "decide/adoption.h"
+#include "decide/endpoint_directory.h"
 #include "decide/endpoint_health.h"
 #include "decide/host_list.h"
 #include "decide/path_chooser.h"
@@ -243,19 +244,90 @@
 
 TEST_CASE("host list: leaving is kept until a newer incarnation") {
   HostList List;
-  const auto entry = [](bool Leaving, std::uint64_t Incarnation) {
-    schema::HostEntry Entry;
-    Entry.set_name("h");
-    Entry.set_leaving(Leaving);
-    Entry.set_incarnation(Incarnation);
-    return std::vector{Entry};
+  const HostId Host("h");
+  const auto leaves = [&](bool Leaving, std::uint64_t Listed) {
+    List.onWord(Host, {static_cast<Incarnation>(Listed), Leaving});
+    return List.of(Host).m_Leaving;
   };
-  CHECK(List.onList(entry(false, 3)).empty());
-  CHECK(List.onList(entry(true, 3)).size() == 1);
-  CHECK(List.onList(entry(false, 3)).size() == 1); // the list went backwards
-  CHECK(List.onList({}).size() == 1);
-  CHECK(List.onList(entry(false, 4)).empty());
-  CHECK(List.onList(entry(true, 4)).size() == 1);
+  CHECK_FALSE(List.of(Host).m_Leaving);
+  CHECK_FALSE(leaves(false, 3));
+  CHECK(leaves(true, 3));
+  CHECK(leaves(false, 3)); // the list went backwards
+  CHECK(leaves(false, 2));
+  CHECK_FALSE(leaves(false, 4));
+  CHECK_FALSE(leaves(true, 3)); // what held of an earlier start
+  CHECK(leaves(true, 4));
+}
+
+namespace {
+
+// A directory with one engine, on host "h".
+EndpointDirectory directoryOfOne() {
+  schema::Declaration Declared;
+  auto &Engine = *Declared.add_endpoints();
+  Engine.set_name("e");
+  Engine.set_host("h");
+  Engine.set_kind(schema::ENGINE);
+  EndpointDirectory Directory{DataCentreId("here")};
+  Directory.adopt(Declared);
+  return Directory;
+}
+
+std::vector<schema::HostEntry> listOf(bool Leaving, std::uint64_t Listed) {
+  schema::HostEntry Entry;
+  Entry.set_name("h");
+  Entry.set_leaving(Leaving);
+  Entry.set_incarnation(Listed);
+  return {Entry};
+}
+
+schema::EndpointNote noteOf(const EndpointChange &Told) {
+  schema::EndpointNote Note;
+  Note.set_name(Told.m_Endpoint.str());
+  Note.set_kind(Told.m_Kind);
+  Note.set_set(Told.m_Set);
+  Note.set_incarnation(raw(Told.m_Incarnation));
+  return Note;
+}
+
+bool leaves(const EndpointDirectory &In) {
+  return In.status().front().m_Leaving;
+}
+
+} // namespace
+
+// Router B only ever read the newer copy, which went backwards; router A had
+// read the one before it and told B. What B reads later must not undo that.
+TEST_CASE("host list: a leaving told by another router outlives an old copy") {
+  EndpointDirectory A = directoryOfOne();
+  EndpointDirectory B = directoryOfOne();
+  A.onHostList(listOf(true, 4));
+  const auto Told = A.takeChanges();
+  REQUIRE(Told.size() == 1);
+  B.onNote(noteOf(Told.front()), T0);
+  REQUIRE(leaves(B));
+  B.onHostList(listOf(false, 4));
+  CHECK(leaves(B));
+  CHECK(B.takeChanges().empty());
+  SUBCASE("a newer incarnation ends it, here and at those that are told") {
+    B.onHostList(listOf(false, 5));
+    CHECK_FALSE(leaves(B));
+    const auto Over = B.takeChanges();
+    REQUIRE(Over.size() == 1);
+    A.onNote(noteOf(Over.front()), T0);
+    CHECK_FALSE(leaves(A));
+    A.onHostList(listOf(true, 4));
+    CHECK_FALSE(leaves(A));
+    CHECK(A.takeChanges().empty());
+  }
+  SUBCASE("a host that leaves again under a newer incarnation is told") {
+    B.onHostList(listOf(true, 5));
+    const auto Again = B.takeChanges();
+    REQUIRE(Again.size() == 1);
+    A.onNote(noteOf(Again.front()), T0);
+    A.onHostList(listOf(false, 4));
+    CHECK(leaves(A));
+  }
 }
 
 TEST_CASE("adoption: only greater generations; who looks often") {
