--- /dev/null
+++ b/tests/platform/forward_router.cpp
@@ -0,0 +1,70 @@
+#include "platform/forward_router.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <unistd.h>
+
+namespace mimosadale::tests {
+
+namespace {
+
+// Longest wait for the balancer's question, as on the platform.
+constexpr auto ReadinessTimeout = std::chrono::milliseconds(500);
+
+} // namespace
+
+ForwardRouter::ForwardRouter(const Estate &Of, const std::string &Name,
+                             const std::string &Retries, std::size_t Listener)
+    : m_Name(Name),
+      m_Directory(std::filesystem::temp_directory_path() /
+                  ("forward-" + std::to_string(getpid()) + "-" + Name)) {
+  std::filesystem::create_directories(m_Directory);
+  std::ofstream(m_Directory / "node.toml")
+      << "name = \"" << Name << "\"\n"
+      << "data_centre = \"fukuoka\"\n"
+      << "callers = \"" << m_Callers << "\"\n"
+      << "readiness = \"" << m_Readiness << "\"\n"
+      << "metrics = \"" << m_Metrics << "\"\n"
+      << "peers = \"" << m_Peers << "\"\n"
+      << "stop_within_seconds = 8\n"
+      << "[store]\naddress = \"" << Of.store(Listener) << "\"\n"
+      << "[retries]\n"
+      << Retries << "[log]\nform = \"json\"\n";
+  start();
+}
+
+ForwardRouter::~ForwardRouter() {
+  m_Process.reset();
+  std::filesystem::remove_all(m_Directory);
+}
+
+void ForwardRouter::start() {
+  m_Process.reset();
+  m_Process = std::make_unique<harness::Process>(
+      m_Name,
+      std::vector<std::string>{
+          std::string(std::getenv("MIMOSADALE_BIN")) + "/mimosadale",
+          "--forward", "--config", m_Directory / "node.toml"},
+      m_Directory / "log");
+}
+
+unsigned ForwardRouter::readiness() {
+  return harness::http("GET", m_Readiness, "/v1/readiness", {}, "",
+                       ReadinessTimeout)
+      .m_Status;
+}
+
+std::string ForwardRouter::log() const {
+  std::ifstream In(m_Directory / "log");
+  return {std::istreambuf_iterator<char>(In), {}};
+}
+
+harness::Headers headers(const std::string &Request, const std::string &Key,
+                         unsigned Answer) {
+  return {{"X-Mimosadale-Request-Id", Request},
+          {"X-Mimosadale-Deadline-Ms", "15000"},
+          {"X-Mimosadale-Token-Count", "100," + std::to_string(Answer)},
+          {"Authorization", "Bearer " + Key}};
+}
+
+} // namespace mimosadale::tests
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -2,88 +2,25 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "harness/harness.h"
 #include "platform/estate.h"
+#include "platform/forward_router.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <doctest/doctest.h>
-#include <filesystem>
-#include <fstream>
 #include <thread>
 
 using namespace mimosadale;
 using namespace std::chrono_literals;
-using harness::Headers;
 using tests::Estate;
+using tests::headers;
+using tests::PlentyRetries;
+using Router = tests::ForwardRouter;
 
 namespace {
 
-const std::string PlentyRetries = "slack = 200\nwindow_seconds = 1\n";
-
-// One router with free ports.
-class Router {
-public:
-  explicit Router(const Estate &Of, const std::string &Name = "r1",
-                  const std::string &Retries = PlentyRetries,
-                  std::size_t Listener = 0)
-      : m_Directory(std::filesystem::temp_directory_path() /
-                    ("forward-" + std::to_string(getpid()) + "-" + Name)) {
-    std::filesystem::create_directories(m_Directory);
-    const std::string Settings = m_Directory / "node.toml";
-    std::ofstream(Settings)
-        << "name = \"" << Name << "\"\n"
-        << "data_centre = \"fukuoka\"\n"
-        << "callers = \"" << m_Callers << "\"\n"
-        << "readiness = \"" << m_Readiness << "\"\n"
-        << "metrics = \"" << m_Metrics << "\"\n"
-        << "peers = \"" << m_Peers << "\"\n"
-        << "stop_within_seconds = 8\n"
-        << "[store]\naddress = \"" << Of.store(Listener) << "\"\n"
-        << "[retries]\n"
-        << Retries << "[log]\nform = \"json\"\n";
-    m_Process = std::make_unique<harness::Process>(
-        Name,
-        std::vector<std::string>{std::string(std::getenv("MIMOSADALE_BIN")) +
-                                     "/mimosadale",
-                                 "--forward", "--config", Settings},
-        m_Directory / "log");
-  }
-  ~Router() {
-    m_Process.reset();
-    std::filesystem::remove_all(m_Directory);
-  }
-
-  const std::string &callers() const { return m_Callers; }
-  harness::Process &process() { return *m_Process; }
-  unsigned readiness() {
-    return harness::http("GET", m_Readiness, "/v1/readiness", {}, "", 500ms)
-        .m_Status;
-  }
-  std::string log() const {
-    std::ifstream In(m_Directory / "log");
-    return {std::istreambuf_iterator<char>(In), {}};
-  }
-
-private:
-  std::filesystem::path m_Directory;
-  std::string m_Callers = harness::freeAddress();
-  std::string m_Readiness = harness::freeAddress();
-  std::string m_Metrics = harness::freeAddress();
-  std::string m_Peers = harness::freeAddress();
-  std::unique_ptr<harness::Process> m_Process;
-};
-
-Headers headers(const std::string &Request, const std::string &Key = "key",
-                unsigned Answer = 40) {
-  return {{"X-Mimosadale-Request-Id", Request},
-          {"X-Mimosadale-Deadline-Ms", "15000"},
-          {"X-Mimosadale-Token-Count", "100," + std::to_string(Answer)},
-          {"Authorization", "Bearer " + Key}};
-}
-
 // Two data centres of three engines each, and two booking endpoints.
 void fill(Estate &Of) {
   for (const char *Centre : {"fukuoka", "kumamoto"})
