One router of a data centre reads the registry for the others

Change: decide/reader_chooser. The reader asks the store every 0.8 s at most and at once when there is a change; the others wait at the reader. It says that nothing changed only if the store said so within 1.2 s, else it refuses and is passed over for 5 s: then the second one, then the store itself. Reason counted and logged (reader_failed). Tests: who reads, what follows a failure, and that a reader which is cut off holds nobody back for two seconds.

--- /dev/null
+++ b/packages/decide/reader_chooser.cpp
@@ -0,0 +1,66 @@
+#include "decide/reader_chooser.h"
+
+#include "decide/rendezvous.h"
+
+namespace mimosadale::decide {
+
+namespace {
+
+// Routers from which on one reads for the others: with fewer the calls saved
+// are worth less than the second way that a change then takes.
+constexpr std::size_t LeastRouters = 16;
+
+// Candidates for the reader of a data centre.
+constexpr std::size_t Candidates = 2;
+
+// Time for which a reader that failed is not asked.
+constexpr Duration FailedTime = std::chrono::seconds(5);
+
+// Wait and pause of a reader: together well below the time for which rows may
+// be passed on (`RowCache::confirmed`).
+constexpr Duration ReaderWait = std::chrono::milliseconds(600);
+constexpr Duration ReaderPause = std::chrono::milliseconds(200);
+
+// Wait and pause of those that read from it: it answers when there is a change.
+constexpr Duration FollowerWait = std::chrono::milliseconds(500);
+constexpr Duration FollowerPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+void ReaderChooser::onRouters(const std::string &Self,
+                              const std::vector<std::string> &Here,
+                              std::size_t All) {
+  m_Self = Self;
+  m_Candidates.clear();
+  if (All >= LeastRouters)
+    m_Candidates = chooseMembers(Here, "reader", Candidates);
+}
+
+std::optional<std::string> ReaderChooser::firstSound(Instant Now) const {
+  for (const std::string &Each : m_Candidates) {
+    const auto Failed = m_FailedAt.find(Each);
+    if (Failed == m_FailedAt.end() || Now - Failed->second > FailedTime)
+      return Each;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> ReaderChooser::reader(Instant Now) const {
+  const auto First = firstSound(Now);
+  return First == m_Self ? std::nullopt : First;
+}
+
+bool ReaderChooser::readsForOthers(Instant Now) const {
+  return firstSound(Now) == m_Self;
+}
+
+void ReaderChooser::onFailed(const std::string &Reader, Instant Now) {
+  m_FailedAt[Reader] = Now;
+}
+
+Duration readerWait() { return ReaderWait; }
+Duration readerPause() { return ReaderPause; }
+Duration followerWait() { return FollowerWait; }
+Duration followerPause() { return FollowerPause; }
+
+} // namespace mimosadale::decide
--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -15,6 +15,11 @@
 constexpr Duration FailingWait = std::chrono::milliseconds(300);
 constexpr Duration PeerWait = std::chrono::milliseconds(800);
 
+// Time for which others may be told that nothing changed: with the wait of
+// their call it is below the two seconds within which a leaving endpoint must
+// get nothing more.
+constexpr Duration ConfirmedTime = std::chrono::milliseconds(1200);
+
 // Failed calls to the store in a row after which another router is asked.
 constexpr unsigned FailuresBeforePeer = 2;
 
@@ -54,6 +59,10 @@
   return true;
 }
 
+bool RowCache::confirmed(Instant Now) const {
+  return m_ConfirmedAt && Now - *m_ConfirmedAt < ConfirmedTime;
+}
+
 std::optional<std::vector<CachedRow>>
 RowCache::rows(std::optional<std::uint64_t> After) const {
   if (After && *After < m_Oldest)
--- a/packages/decide/row_cache.h
+++ b/packages/decide/row_cache.h
@@ -36,6 +36,13 @@
   /// Whether a whole table was taken.
   bool known() const { return m_Known; }
 
+  /// The store answered this router that its rows are up to date.
+  void confirm(Instant Now) { m_ConfirmedAt = Now; }
+
+  /// Whether that was a moment ago, so that others may take it from here that
+  /// nothing changed.
+  bool confirmed(Instant Now) const;
+
   /// All rows; changes after \p After only if it is given. None when those
   /// changes are not known any more.
   std::optional<std::vector<CachedRow>>
@@ -49,6 +56,7 @@
   std::uint64_t m_Version = 0;
   std::uint64_t m_Oldest = 0; // version of the last whole read
   bool m_Known = false;
+  std::optional<Instant> m_ConfirmedAt;
 };
 
 /// The pause between two reads of the registry while it changes: the more
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -61,6 +61,7 @@
   };
   m_Registry.m_Name = platform::RegistryTable;
   m_Registry.m_FromRouters = true;
+  m_Registry.m_HasReaders = true;
   m_Registry.m_Pause = [this] { return m_Shared.registryPause(); };
   m_Registry.m_Take = [this](const platform::Rows &Changes, bool Whole,
                              decide::RowSource) {
@@ -127,8 +128,13 @@
   m_Routers[Self] = {m_Shared.m_Settings.peers(),
                      DataCentreId(m_Shared.m_Settings.data_centre())};
   std::vector<std::string> All;
-  for (const auto &[Name, Place] : m_Routers)
+  std::vector<std::string> Here;
+  for (const auto &[Name, Place] : m_Routers) {
     All.push_back(Name);
+    if (Place.m_DataCentre.str() == m_Shared.m_Settings.data_centre())
+      Here.push_back(Name);
+  }
+  m_Readers.onRouters(Self, Here, All.size());
   m_Shared.m_Routers = All.size();
   m_Shared.m_RoutersRead = true;
   m_Shared.m_OrderRank = rankOf(All, Self);
@@ -136,46 +142,69 @@
 }
 
 // Another router, drawn by chance.
-std::optional<net::Address> StoreWatch::anyPeer() {
-  std::vector<const platform::RouterPlace *> Others;
+std::optional<std::string> StoreWatch::anyPeer() {
+  std::vector<std::string> Others;
   for (const auto &[Name, Place] : m_Routers)
     if (Name != m_Shared.m_Settings.name())
-      Others.push_back(&Place);
+      Others.push_back(Name);
   if (Others.empty())
     return std::nullopt;
   std::uniform_int_distribution<std::size_t> Draw(0, Others.size() - 1);
-  return net::parseAddress(Others[Draw(m_Shared.m_Random)]->m_Peers);
+  return Others[Draw(m_Shared.m_Random)];
+}
+
+StoreWatch::Call StoreWatch::nextCall(const Table &Of) {
+  const Instant Now = ForwardState::now();
+  Call Next{Of.m_Source.next(), std::nullopt, Of.m_Source.wait(), Of.m_Pause()};
+  if (Next.m_Source == decide::RowSource::Peer) {
+    Next.m_Router = anyPeer();
+  } else if (Of.m_HasReaders && m_Readers.readsForOthers(Now)) {
+    Next.m_Wait = std::min(Next.m_Wait, decide::readerWait());
+    Next.m_Pause = decide::readerPause();
+  } else if (Of.m_HasReaders) {
+    Next.m_Router = m_Readers.reader(Now);
+    if (Next.m_Router) {
+      Next.m_Wait = decide::followerWait();
+      Next.m_Pause = decide::followerPause();
+    }
+  }
+  return Next;
 }
 
-asio::awaitable<platform::Rows> StoreWatch::readOnce(Table &Of, bool Whole) {
+asio::awaitable<platform::Rows> StoreWatch::readOnce(Table &Of, Call How,
+                                                     bool Whole) {
   const std::uint64_t After = Of.m_Cache.version();
-  const Duration Wait = Of.m_Source.wait();
-  if (Of.m_Source.next() == decide::RowSource::Store) {
+  if (How.fromStore()) {
     m_Shared.m_Metrics.counted("store_call");
     if (Whole)
       co_return co_await m_Shared.m_Store.readTable(Of.m_Name);
-    co_return co_await m_Shared.m_Store.feed(Of.m_Name, After, Wait,
+    co_return co_await m_Shared.m_Store.feed(Of.m_Name, After, How.m_Wait,
                                              StoreSlack);
   }
-  const auto Peer = anyPeer();
-  if (!Peer)
+  const auto Place = How.m_Router ? m_Routers.find(*How.m_Router)
+                                  : m_Routers.end();
+  if (Place == m_Routers.end())
     throw platform::StoreCallError("no other router is known");
   m_Shared.m_Metrics.counted("router_asked");
-  platform::StoreClient Reader(m_Shared.m_Client, *Peer, PeerSlack);
+  platform::StoreClient Other(m_Shared.m_Client,
+                              net::parseAddress(Place->second.m_Peers),
+                              PeerSlack);
   if (Whole)
-    co_return co_await Reader.readTable(Of.m_Name);
-  co_return co_await Reader.feed(Of.m_Name, After, Wait, PeerSlack);
+    co_return co_await Other.readTable(Of.m_Name);
+  co_return co_await Other.feed(Of.m_Name, After, How.m_Wait, PeerSlack);
 }
 
 asio::awaitable<void> StoreWatch::follow(Table &Of) {
   bool Whole = true;
   while (true) {
-    const decide::RowSource From = Of.m_Source.next();
+    const Call How = nextCall(Of);
     bool Failed = false;
     try {
-      const platform::Rows Got = co_await readOnce(Of, Whole);
-      if (From == decide::RowSource::Store)
+      const platform::Rows Got = co_await readOnce(Of, How, Whole);
+      if (How.fromStore()) {
         noteStore(Of.m_Name, true, "");
+        Of.m_Cache.confirm(ForwardState::now());
+      }
       if (Got.m_HistoryGone) {
         router::logEvent(schema::WARN, "store_history_gone",
                          {{"table", Of.m_Name},
@@ -183,20 +212,35 @@
         Whole = true;
       } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole)) {
         if (Whole || !Got.m_Rows.empty()) {
-          Of.m_Take(Got, Whole, From);
+          Of.m_Take(Got, Whole,
+                    How.fromStore() ? decide::RowSource::Store
+                                    : decide::RowSource::Peer);
           wakeWaiting(Of);
         }
         Whole = false;
       }
     } catch (const Error &Wrong) {
-      if (From == decide::RowSource::Store)
+      if (How.fromStore())
         noteStore(Of.m_Name, false, Wrong.what());
       Failed = true;
     }
+    co_await pause(m_Shared.m_Io, pauseAfter(Of, How, Failed));
+  }
+}
+
+// A reader that failed is passed over at once: what it did not tell may be due.
+Duration StoreWatch::pauseAfter(Table &Of, const Call &How, bool Failed) {
+  if (!How.fromReader()) {
     const bool HasPeers = Of.m_FromRouters && m_Routers.size() > 1;
-    const Duration Next = Of.m_Source.onCall(Failed, HasPeers, Of.m_Pause());
-    co_await pause(m_Shared.m_Io, Next);
+    return Of.m_Source.onCall(Failed, HasPeers, How.m_Pause);
   }
+  if (!Failed)
+    return How.m_Pause;
+  m_Readers.onFailed(*How.m_Router, ForwardState::now());
+  m_Shared.m_Metrics.counted("reader_failed");
+  router::logEvent(schema::WARN, "reader_failed",
+                   {{"table", Of.m_Name}, {"router", *How.m_Router}});
+  return Duration{};
 }
 
 void StoreWatch::wakeWaiting(Table &Of) {
@@ -228,6 +272,10 @@
     Refused.m_Status = 410;
     co_return Refused;
   }
+  // That nothing changed is said only if the store said so a moment ago.
+  if (Found->empty() && Query.m_After &&
+      !Of->m_Cache.confirmed(ForwardState::now()))
+    co_return Refused;
   platform::Rows Rows;
   Rows.m_Rows = std::move(*Found);
   Rows.m_Version = Of->m_Cache.version();
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -2,6 +2,7 @@
 #ifndef MIMOSADALE_FORWARD_STORE_WATCH_H
 #define MIMOSADALE_FORWARD_STORE_WATCH_H
 
+#include "decide/reader_chooser.h"
 #include "decide/row_cache.h"
 #include "forward/forward_state.h"
 #include "net/http.h"
@@ -53,14 +54,33 @@
     Apply m_Take;
     decide::RowCache m_Cache;
     decide::RowSourceChooser m_Source;
+    bool m_HasReaders = false; // one router may read it for the others
     std::set<boost::asio::steady_timer *> m_Waiting; // for a change
   };
 
+  // Where the next call for a table goes, and how it is paced.
+  struct Call {
+    decide::RowSource m_Source = decide::RowSource::Store;
+    std::optional<std::string> m_Router; // to ask; none for the store
+    Duration m_Wait{};
+    Duration m_Pause{};
+
+    bool fromStore() const {
+      return m_Source == decide::RowSource::Store && !m_Router;
+    }
+    bool fromReader() const {
+      return m_Source == decide::RowSource::Store && m_Router;
+    }
+  };
+
   boost::asio::awaitable<void> follow(Table &Of);
-  boost::asio::awaitable<platform::Rows> readOnce(Table &Of, bool Whole);
+  Call nextCall(const Table &Of);
+  boost::asio::awaitable<platform::Rows> readOnce(Table &Of, Call How,
+                                                  bool Whole);
+  Duration pauseAfter(Table &Of, const Call &How, bool Failed);
   std::string ownRow() const;
   boost::asio::awaitable<bool> registerSelf(std::string Value);
-  std::optional<net::Address> anyPeer();
+  std::optional<std::string> anyPeer();
   void wakeWaiting(Table &Of);
   void takeConfig(const platform::Rows &Changes, decide::RowSource From);
   void takeRegistry(const platform::Rows &Changes, bool Whole);
@@ -72,6 +92,7 @@
   std::function<void()> m_OnConfig;
   std::map<std::string, bool> m_Reachable; // by table
   std::map<std::string, platform::RouterPlace> m_Routers;
+  decide::ReaderChooser m_Readers;
   Table m_Config;
   Table m_Registry;
   Table m_RouterRows;
--- a/tests/unit/row_cache_test.cpp
+++ b/tests/unit/row_cache_test.cpp
@@ -1,12 +1,29 @@
 // Tables passed on between routers, and where each router reads them.
 #include "decide/row_cache.h"
 
+#include "decide/reader_chooser.h"
+
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace mimosadale;
 using namespace mimosadale::decide;
 using namespace std::chrono_literals;
 
+namespace {
+
+constexpr Instant T0{1000s};
+
+std::vector<std::string> routersOf(int Count) {
+  std::vector<std::string> Names;
+  for (int I = 0; I < Count; ++I)
+    Names.push_back("r" + std::to_string(I));
+  return Names;
+}
+
+} // namespace
+
 TEST_CASE("a cache gives changes, whole tables, and nothing older") {
   RowCache Cache;
   CHECK_FALSE(Cache.known());
@@ -101,3 +118,73 @@
   Alone.onCall(false, false, 20ms);
   CHECK(Alone.onCall(true, false, 20ms) < 500ms);
 }
+
+TEST_CASE("of many routers one of a data centre reads, of few each") {
+  const std::vector<std::string> Here = routersOf(20);
+  int Readers = 0;
+  std::set<std::string> Read;
+  for (const std::string &Each : Here) {
+    ReaderChooser Chooser;
+    CHECK_FALSE(Chooser.reader(T0));
+    CHECK_FALSE(Chooser.readsForOthers(T0));
+    Chooser.onRouters(Each, Here, 60);
+    Readers += Chooser.readsForOthers(T0);
+    if (const auto From = Chooser.reader(T0))
+      Read.insert(*From);
+    Chooser.onRouters(Each, routersOf(6), 6);
+    CHECK_FALSE(Chooser.reader(T0));
+    CHECK_FALSE(Chooser.readsForOthers(T0));
+  }
+  CHECK(Readers == 1);
+  CHECK(Read.size() == 1);
+}
+
+TEST_CASE("a reader that fails is passed over for a while, then the store is "
+          "read") {
+  const std::vector<std::string> Here = routersOf(20);
+  ReaderChooser First; // what the first candidate decides
+  std::string Best;
+  std::string Second;
+  for (const std::string &Each : Here) {
+    First.onRouters(Each, Here, 60);
+    if (First.readsForOthers(T0))
+      Best = Each;
+  }
+  for (const std::string &Each : Here) {
+    ReaderChooser Without;
+    Without.onRouters(Each, Here, 60);
+    Without.onFailed(Best, T0);
+    if (Without.readsForOthers(T0))
+      Second = Each;
+  }
+  REQUIRE(Best != Second);
+  const std::string Third = *std::find_if(
+      Here.begin(), Here.end(), [&](const std::string &Each) {
+        return Each != Best && Each != Second;
+      });
+  ReaderChooser Chooser;
+  Chooser.onRouters(Third, Here, 60);
+  CHECK(Chooser.reader(T0) == Best);
+  Chooser.onFailed(Best, T0);
+  CHECK(Chooser.reader(T0) == Second);
+  Chooser.onFailed(Second, T0);
+  CHECK_FALSE(Chooser.reader(T0 + 1s));
+  CHECK_FALSE(Chooser.readsForOthers(T0 + 1s));
+  CHECK(Chooser.reader(T0 + 10s) == Best);
+}
+
+// A reader that is cut off from the store goes on answering. The rows that it
+// confirms are the store's of that moment; what changes after it must be heard
+// of in two seconds all the same.
+TEST_CASE("a reader that is cut off holds nobody back for two seconds") {
+  RowCache Reader;
+  Reader.take({{"a", "1", 3, false}}, 3, true);
+  Reader.confirm(T0);
+  CHECK(Reader.confirmed(T0 + readerWait() + readerPause()));
+  Instant Now = T0;
+  while (Reader.confirmed(Now))
+    Now += followerWait() + followerPause();
+  CHECK(Now - T0 < 2s);
+  RowCache Never;
+  CHECK_FALSE(Never.confirmed(T0));
+}
