Paths lead around engines that refuse their part though they have room

Ruled out: want of room (reports), places of the first engine (refusals came from later parts), slow chains. Change: such an engine is kept out of new paths for 2, 4, then 8 s, or until the registry tells of a change of it; chains are built from the others, so a gap is lent where a whole chain was given up. A path through it is better than none. Logged and counted: endpoint_refusing.

--- a/packages/decide/answer_rule.cpp
+++ b/packages/decide/answer_rule.cpp
@@ -44,12 +44,12 @@
   return SendFault::Failed;
 }
 
-Duration pauseAfterRefusal(unsigned Status, std::optional<double> Taken,
-                           Duration Registry) {
-  const bool Room = Taken && *Taken < RoomLeft;
-  return Status == MisdirectedRequest || Room ? Registry : FullPause;
+bool refusesPart(unsigned Status, std::optional<double> Taken) {
+  return Status == MisdirectedRequest || (Taken && *Taken < RoomLeft);
 }
 
+Duration pauseOfFull() { return FullPause; }
+
 bool meansLost(unsigned Status, Duration After) {
   return Status == ServiceUnavailable && After > RefusalOfLost;
 }
--- a/packages/decide/answer_rule.h
+++ b/packages/decide/answer_rule.h
@@ -31,14 +31,15 @@
 /// engine of the path is lost, rather than full.
 bool meansLost(unsigned Status, Duration After);
 
-/// For how long an engine that refused a part of a path at once is left out of
-/// paths. One that is full has a place again when the next request ends; one
-/// that does not hold the part, or gives it up, goes on refusing until the
-/// registry tells what it holds.
+/// Whether an engine that refused its part of a path at once refuses the part
+/// itself: it does not hold it, gives it up or leaves, and goes on refusing
+/// until the registry tells. One that is full has a place again when the next
+/// request ends.
 /// \param Taken the part of its memory that is taken, by its own recent word.
-/// \param Registry the pause between two reads of the registry.
-Duration pauseAfterRefusal(unsigned Status, std::optional<double> Taken,
-                           Duration Registry);
+bool refusesPart(unsigned Status, std::optional<double> Taken);
+
+/// For how long a full engine is left out.
+Duration pauseOfFull();
 
 } // namespace mimosadale::decide
 
--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -63,10 +63,14 @@
   std::map<DataCentreId, std::vector<StagePlan>> ByDataCentre;
   std::map<DataCentreId, std::vector<StagePlan>> Leaving;
   std::vector<StagePlan> All;
+  std::vector<StagePlan> Refusing;
   for (const auto &[Id, Known] : Engines.all()) {
     const LayerRange Held = Known.m_Record.m_Layers;
-    if (Known.m_Record.m_Service != Service || !Known.passable() ||
-        Held.m_First >= Held.m_End)
+    if (Known.m_Record.m_Service != Service || Held.m_First >= Held.m_End)
+      continue;
+    if (Known.m_Refusing && Known.usable())
+      Refusing.push_back({Id, Held});
+    if (!Known.passable())
       continue;
     auto &Here = Known.usable() ? ByDataCentre : Leaving;
     Here[Known.m_Record.m_DataCentre].push_back({Id, Held});
@@ -107,6 +111,11 @@
   if (m_Chains.empty())
     if (Path Stages = fewestStages(All, Model.m_Layers); !Stages.empty())
       Add(std::move(Stages));
+  // Better a path that may be refused than none.
+  All.insert(All.end(), Refusing.begin(), Refusing.end());
+  if (m_Chains.empty() && !Refusing.empty())
+    if (Path Stages = fewestStages(All, Model.m_Layers); !Stages.empty())
+      Add(std::move(Stages));
 }
 
 double ChainRouter::fill(const Fleet &Engines, const Chain &Of,
--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -1,5 +1,6 @@
 #include "decide/fleet.h"
 
+#include <algorithm>
 #include <set>
 
 namespace mimosadale::decide {
@@ -15,6 +16,17 @@
 // stream that counts as late.
 constexpr Duration ReportOverdue = std::chrono::milliseconds(70);
 
+// Time for which paths lead around an engine that refuses its part, doubled
+// each time up to the longest: an order that gives layers up takes some
+// seconds, a leaving that the registry does not show as long as the store is
+// down.
+constexpr Duration RefusingTime = std::chrono::seconds(2);
+constexpr unsigned MostDoublings = 2;
+
+// Time after which the next such refusal is not one in a row: several requests
+// went through it by then.
+constexpr Duration InRowWithin = std::chrono::seconds(5);
+
 // Times the time of its kind from which on an engine counts as slow.
 constexpr double SlowFrom = 3;
 
@@ -52,6 +64,11 @@
     Known.m_LeavingSince = Now;
     Known.m_LeavingOver = false;
   }
+  // Its refusals are explained; those of one that leaves go on.
+  if (Known.m_Refusing && Record.m_Leaving)
+    Known.m_LeavingOver = true;
+  Known.m_Refusing = false;
+  Known.m_Refusals = 0;
   Known.m_Record = Record;
   ++m_Revision;
 }
@@ -88,12 +105,17 @@
   std::erase_if(m_All, [&](const auto &Each) {
     return Each.second.m_Dropped && Each.second.m_LeavingOver;
   });
-  for (auto &[Id, Known] : m_All)
+  for (auto &[Id, Known] : m_All) {
+    if (Known.m_Refusing && Now >= Known.m_RefusingUntil) {
+      Known.m_Refusing = false;
+      ++m_Revision;
+    }
     if (Known.m_Record.m_Leaving && !Known.m_LeavingOver &&
         Now - Known.m_LeavingSince > LeavingUse) {
       Known.m_LeavingOver = true;
       ++m_Revision;
     }
+  }
 }
 
 bool Fleet::suspect(const EndpointId &Id, const std::string &Why, Instant Now) {
@@ -145,6 +167,22 @@
     Found->second.m_FullUntil = Until;
 }
 
+bool Fleet::onRefusedPart(const EndpointId &Id, Instant Now) {
+  const auto Found = m_All.find(Id);
+  if (Found == m_All.end() || Found->second.m_Refusing)
+    return false;
+  FleetEndpoint &Known = Found->second;
+  const bool InRow =
+      Known.m_Refusals > 0 && Now - Known.m_RefusingUntil < InRowWithin;
+  Known.m_Refusals = InRow ? Known.m_Refusals + 1 : 1;
+  Known.m_Refusing = true;
+  Known.m_RefusingUntil =
+      Now +
+      RefusingTime * (1u << std::min(Known.m_Refusals - 1, MostDoublings));
+  ++m_Revision;
+  return true;
+}
+
 void Fleet::onLayersHeld(const EndpointId &Id, LayerRange Layers) {
   const auto Found = m_All.find(Id);
   if (Found == m_All.end() || Found->second.m_Record.m_Layers == Layers)
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -46,8 +46,11 @@
   unsigned m_InFlight = 0;        // requests of this router, as first stage
   unsigned m_SentSinceReport = 0; // as first stage, by this router
   Instant m_FullUntil{};          // it refused a request for want of a place
-  double m_KvInFlight = 0;        // tokens times layers, of this router
-  double m_KvSinceReport = 0;     // sent by this router since the last report
+  bool m_Refusing = false; // it refuses its part of paths for other causes
+  Instant m_RefusingUntil{};
+  unsigned m_Refusals = 0;    // such times in a row
+  double m_KvInFlight = 0;    // tokens times layers, of this router
+  double m_KvSinceReport = 0; // sent by this router since the last report
   std::optional<EngineLoadReport> m_Load;
   Instant m_LoadAt{};
   std::optional<Instant> m_AskedAt; // a report was asked for and is not there
@@ -67,9 +70,9 @@
   bool usable() const { return !m_Suspect && !m_Record.m_Leaving; }
 
   /// Whether a path may still lead through it: for a moment after it began to
-  /// leave, while others load its layers.
+  /// leave, while others load its layers, unless it refuses by then.
   bool passable() const {
-    return !m_Suspect && (!m_Record.m_Leaving || !m_LeavingOver);
+    return !m_Suspect && !m_Refusing && (!m_Record.m_Leaving || !m_LeavingOver);
   }
 };
 
@@ -112,6 +115,12 @@
   /// \p Id refused a request for want of a place: it gets none until \p Until.
   void onFull(const EndpointId &Id, Instant Until);
 
+  /// \p Id refused its part of a path though it has room: it leaves, gives
+  /// layers up or lost them, and the registry does not tell yet, or cannot. New
+  /// paths lead around it for a while, longer each time, or until the registry
+  /// tells of a change. \returns whether that is news.
+  bool onRefusedPart(const EndpointId &Id, Instant Now);
+
   /// \p Id confirmed that it holds \p Layers.
   void onLayersHeld(const EndpointId &Id, LayerRange Layers);
 
--- a/packages/decide/path_repair.cpp
+++ b/packages/decide/path_repair.cpp
@@ -34,7 +34,7 @@
     const EndpointRecord &Record = Known.m_Record;
     const bool OnPath = has(Broken, Id);
     if (OnPath || Unfit.contains(Id) || !Known.usable() || Known.slow() ||
-        Known.unanswered(Now) ||
+        Known.m_Refusing || Known.unanswered(Now) ||
         Record.m_Service != First->m_Record.m_Service ||
         Record.m_Layers.m_First >= Record.m_Layers.m_End)
       continue;
--- a/packages/decide/reader_chooser.h
+++ b/packages/decide/reader_chooser.h
@@ -13,9 +13,10 @@
 
 /// With many routers, one of each data centre reads the store and the others
 /// read from it: the store is asked a few times for each change instead of once
-/// by each router. A router whose reader fails takes the next one, and the store
-/// itself after that. Nothing is agreed: a router that is taken for the reader
-/// by mistake answers as long as its rows are confirmed, and refuses after it.
+/// by each router. A router whose reader fails takes the next one, and the
+/// store itself after that. Nothing is agreed: a router that is taken for the
+/// reader by mistake answers as long as its rows are confirmed, and refuses
+/// after it.
 ///
 /// \par Thread safety
 /// None.
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -58,6 +58,7 @@
   std::string describe(const decide::Chain &Of) const;
   void logSend(const decide::Chain &To) const;
   void logNoChain() const;
+  void logRefusing(const decide::FleetEndpoint &At) const;
   void logRefusal(const decide::FleetEndpoint *At, const std::string &Address,
                   unsigned Status) const;
   boost::asio::awaitable<std::optional<decide::ForwardStep>> sendTo(Target To);
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -110,17 +110,16 @@
     const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
     if (Chains && At->m_Load && Now - At->m_LoadAt < RecentReport)
       Taken = Chains->memoryTaken(*At);
-    m_Shared.m_Fleet.onFull(
-        Id, Now + decide::pauseAfterRefusal(Status, Taken,
-                                            m_Shared.registryPause()));
+    if (!decide::refusesPart(Status, Taken))
+      m_Shared.m_Fleet.onFull(Id, Now + decide::pauseOfFull());
+    else if (m_Shared.m_Fleet.onRefusedPart(Id, Now))
+      logRefusing(*At);
   } else {
     // Its own queue is full: this request goes elsewhere, others may fit.
     Lost.insert(m_Target.m_Endpoint);
     if (!m_Target.m_Path.empty())
-      m_Shared.m_Fleet.onFull(
-          m_Target.m_Endpoint,
-          ForwardState::now() +
-              decide::pauseAfterRefusal(Status, {}, m_Shared.registryPause()));
+      m_Shared.m_Fleet.onFull(m_Target.m_Endpoint,
+                              ForwardState::now() + decide::pauseOfFull());
   }
   return fault(SendFault::SaidNotRun, Lost);
 }
@@ -144,6 +143,15 @@
         At && At->m_Load ? router::millisText(Now - At->m_LoadAt) : "none"}});
 }
 
+void ForwardCall::logRefusing(const decide::FleetEndpoint &At) const {
+  m_Shared.m_Metrics.counted("endpoint_refusing");
+  router::logEvent(schema::INFO, "endpoint_refusing",
+                   {{"endpoint", At.m_Record.m_Id.str()},
+                    {"times", std::to_string(At.m_Refusals)},
+                    {"for_ms", router::millisText(At.m_RefusingUntil -
+                                                  ForwardState::now())}});
+}
+
 net::HttpRequest ForwardCall::encode(const Target &To) const {
   platform::ForwardHeaders Added;
   Added.m_Left = m_Run->end() - ForwardState::now();
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -181,14 +181,13 @@
     co_return co_await m_Shared.m_Store.feed(Of.m_Name, After, How.m_Wait,
                                              StoreSlack);
   }
-  const auto Place = How.m_Router ? m_Routers.find(*How.m_Router)
-                                  : m_Routers.end();
+  const auto Place =
+      How.m_Router ? m_Routers.find(*How.m_Router) : m_Routers.end();
   if (Place == m_Routers.end())
     throw platform::StoreCallError("no other router is known");
   m_Shared.m_Metrics.counted("router_asked");
-  platform::StoreClient Other(m_Shared.m_Client,
-                              net::parseAddress(Place->second.m_Peers),
-                              PeerSlack);
+  platform::StoreClient Other(
+      m_Shared.m_Client, net::parseAddress(Place->second.m_Peers), PeerSlack);
   if (Whole)
     co_return co_await Other.readTable(Of.m_Name);
   co_return co_await Other.feed(Of.m_Name, After, How.m_Wait, PeerSlack);
--- a/tests/unit/forward_choice_test.cpp
+++ b/tests/unit/forward_choice_test.cpp
@@ -5,6 +5,8 @@
 #include "decide/report_schedule.h"
 #include "decide/row_cache.h"
 
+#include "engine_fixture.h"
+
 #include <doctest/doctest.h>
 
 using namespace mimosadale;
@@ -93,23 +95,27 @@
 TEST_CASE("an engine gives up a part, or lost it in a restart: many routers do "
           "not go on sending to it until the registry tells") {
   // A full engine has a place again soon; without its word it may be full.
-  CHECK(pauseAfterRefusal(503, 0.97, 1s) < 100ms);
-  CHECK(pauseAfterRefusal(503, std::nullopt, 1s) < 100ms);
+  CHECK_FALSE(refusesPart(503, 0.97));
+  CHECK_FALSE(refusesPart(503, std::nullopt));
+  CHECK(pauseOfFull() < 100ms);
   // With room left it refuses the part itself.
-  CHECK(pauseAfterRefusal(503, 0.3, 1s) == 1s);
-  CHECK(pauseAfterRefusal(421, std::nullopt, 1s) == 1s);
+  CHECK(refusesPart(503, 0.3));
+  CHECK(refusesPart(421, std::nullopt));
   // A router that sends a request a second to its chain is refused once in the
   // two seconds that a restart takes to show in the registry, not 20 times.
+  Fleet Made;
+  const EndpointId Engine("a");
+  Made.put(tests::engine("a", "l4", {0, 5}), T0);
   unsigned Refused = 0;
-  Instant Closed{};
-  for (Instant Now = T0; Now < T0 + 2s; Now += 100ms)
-    if (Now >= Closed) {
-      ++Refused;
-      Closed = Now + pauseAfterRefusal(421, std::nullopt, registryPause(68));
-    }
-  CHECK(Refused <= 2);
-  // Few routers read the registry sooner, and use the engine again sooner.
-  CHECK(pauseAfterRefusal(421, std::nullopt, registryPause(6)) <= 200ms);
+  for (Instant Now = T0; Now < T0 + 2s; Now += 100ms) {
+    Made.onTick(Now);
+    if (Made.find(Engine)->passable())
+      Refused += Made.onRefusedPart(Engine, Now);
+  }
+  CHECK(Refused == 1);
+  // The registry's word is taken at once.
+  Made.put(tests::engine("a", "l4", {0, 4}), T0 + 2s);
+  CHECK(Made.find(Engine)->passable());
 }
 
 TEST_CASE("engines are asked as often as the reason wants, and not more") {
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace mimosadale;
 using namespace mimosadale::decide;
@@ -222,6 +223,79 @@
         nullptr);
 }
 
+TEST_CASE("engines refuse to take part and the registry does not tell: paths "
+          "lead around them, and no chain is given up for them") {
+  // Two chains a data centre with other borders; one engine of each chain
+  // leaves while the store is down.
+  const auto fleet = [] {
+    Fleet Made;
+    for (const std::string Centre : {"x", "y"}) {
+      for (std::uint32_t I = 0; I < 4; ++I)
+        Made.put(engine(Centre + "a" + std::to_string(I), "a100s",
+                        {20 * I, 20 * I + 20}, Centre),
+                 T0);
+      const LayerRange Other[] = {
+          {0, 10}, {10, 30}, {30, 50}, {50, 70}, {70, 80}};
+      for (std::uint32_t I = 0; I < 5; ++I)
+        Made.put(
+            engine(Centre + "b" + std::to_string(I), "a100s", Other[I], Centre),
+            T0);
+    }
+    return Made;
+  };
+  const EndpointId Leaving[] = {EndpointId("xa1"), EndpointId("xb3"),
+                                EndpointId("ya0"), EndpointId("yb4")};
+  Fleet Made = fleet();
+  ChainRouter Router;
+  Router.rebuild(Made, Llm, model());
+  CHECK(Router.chains().size() == 4);
+  for (const EndpointId &Each : Leaving) {
+    CHECK(Made.onRefusedPart(Each, T0));
+    CHECK_FALSE(Made.onRefusedPart(Each, T0)); // what was under way
+  }
+  Router.rebuild(Made, Llm, model());
+  Random Rng(7);
+  std::set<DataCentreId> Used;
+  for (int I = 0; I < 100; ++I) {
+    const Chain *Chosen =
+        Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng);
+    REQUIRE(Chosen);
+    Used.insert(Chosen->m_DataCentre);
+    for (const StagePlan &Stage : Chosen->m_Stages)
+      CHECK(std::find(std::begin(Leaving), std::end(Leaving),
+                      Stage.m_Endpoint) == std::end(Leaving));
+  }
+  CHECK(Used.size() == 2);
+  SUBCASE(
+      "they are tried again later, the more seldom the oftener they refuse") {
+    int Refused = 0;
+    for (Instant Now = T0; Now < T0 + 20s; Now += 25ms) {
+      Made.onTick(Now);
+      if (Made.find(Leaving[0])->passable())
+        Refused += Made.onRefusedPart(Leaving[0], Now);
+    }
+    CHECK(Refused >= 2);
+    CHECK(Refused <= 3);
+  }
+  SUBCASE("the registry's word ends it: other layers are used, and one that "
+          "leaves is not used even for a moment") {
+    Made.put(engine("xa1", "a100s", {20, 41}, "x"), T0 + 1s);
+    CHECK(Made.find(Leaving[0])->passable());
+    EndpointRecord Left = engine("xb3", "a100s", {50, 70}, "x");
+    Left.m_Leaving = true;
+    Made.put(Left, T0 + 1s);
+    Made.onTick(T0 + 10s);
+    CHECK_FALSE(Made.find(Leaving[1])->passable());
+  }
+  SUBCASE("if there is no other path, they are tried all the same") {
+    const Fleet All = fleet();
+    for (const auto &[Id, Known] : All.all())
+      Made.onRefusedPart(Id, T0);
+    Router.rebuild(Made, Llm, model());
+    CHECK(Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng));
+  }
+}
+
 TEST_CASE("memory in use counts at every stage, by the engine's own total") {
   Fleet Made;
   for (const std::string Centre : {"x", "y"})
--- a/tests/unit/row_cache_test.cpp
+++ b/tests/unit/row_cache_test.cpp
@@ -158,8 +158,8 @@
       Second = Each;
   }
   REQUIRE(Best != Second);
-  const std::string Third = *std::find_if(
-      Here.begin(), Here.end(), [&](const std::string &Each) {
+  const std::string Third =
+      *std::find_if(Here.begin(), Here.end(), [&](const std::string &Each) {
         return Each != Best && Each != Second;
       });
   ReaderChooser Chooser;
