--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -1,5 +1,7 @@
 #include "decide/chain_router.h"
 
+#include "decide/tiling.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -18,10 +20,6 @@
 // Part of its answer that a running request has written, on average.
 constexpr double AnswerWritten = 0.5;
 
-// Cost of a stage without room, in stages: some more hops are shorter than the
-// wait for a place, and a path is bound by its tightest stage.
-constexpr double TightCost = 12;
-
 // A broken chain with its gap lent by other engines of the data centre; empty
 // when it would be lent more than it brings.
 Path mended(const std::vector<StagePlan> &Broken,
@@ -57,23 +55,6 @@
   return FreeBytes / (Model.m_KvBytesPerToken / Model.m_Layers);
 }
 
-// An engine should have room for what the first one lets in, at the usual size:
-// one that has less binds its whole chain. It has more for fewer layers.
-StageCost ChainRouter::stageCost(const Fleet &Engines) const {
-  const double Wanted = m_Model.m_FirstStageSlots * usualTokens();
-  return [this, &Engines, Wanted](const EndpointId &Id, std::uint32_t Layers) {
-    if (Wanted <= 0)
-      return 1.0;
-    const double Room = memoryRoom(*Engines.find(Id)) / Layers;
-    const double Short = std::max(0.0, 1 - Room / Wanted);
-    return 1 + TightCost * Short * Short;
-  };
-}
-
-double ChainRouter::usualTokens() const {
-  return m_Model.m_UsualPrompt + AnswerWritten * m_Model.m_UsualAnswer;
-}
-
 void ChainRouter::rebuild(const Fleet &Engines, const ServiceId &Service,
                           const EngineModel &Model) {
   m_Model = Model;
@@ -114,15 +95,14 @@
     m_Chains.push_back(std::move(Fresh));
   };
   const auto Whole = ByDataCentre;
-  const StageCost Cost = stageCost(Engines);
   for (auto &[DataCentre, Left] : ByDataCentre) {
-    for (Path &Stages : disjointTilings(Left, Model.m_Layers, Cost))
+    for (Path &Stages : disjointTilings(Left, Model.m_Layers))
       Add(std::move(Stages));
     // What is left may still make a chain with engines that are leaving, or
     // with a few layers of engines of the whole chains.
     const auto &Going = Leaving[DataCentre];
     Left.insert(Left.end(), Going.begin(), Going.end());
-    for (Path &Stages : disjointTilings(Left, Model.m_Layers, Cost))
+    for (Path &Stages : disjointTilings(Left, Model.m_Layers))
       Add(std::move(Stages));
     if (Path Stages = mended(Left, Whole.at(DataCentre), Model.m_Layers);
         !Stages.empty())
@@ -170,7 +150,8 @@
   const auto Parts = m_PartsOf.find(Of.m_Record.m_Id);
   if (Parts == m_PartsOf.end() || (Of.m_Load && Now - Of.m_LoadAt < OldReport))
     return Known;
-  const double Usual = usualTokens();
+  const double Usual =
+      m_Model.m_UsualPrompt + AnswerWritten * m_Model.m_UsualAnswer;
   double Expected = 0;
   for (const ChainPart &Each : Parts->second)
     if (const FleetEndpoint *First =
--- a/packages/decide/chain_router.h
+++ b/packages/decide/chain_router.h
@@ -5,7 +5,6 @@
 #include "decide/fleet.h"
 #include "decide/path_chooser.h"
 #include "decide/routing.h"
-#include "decide/tiling.h"
 
 namespace mimosadale::decide {
 
@@ -69,11 +68,6 @@
   const std::vector<Chain> &chains() const { return m_Chains; }
 
 private:
-  StageCost stageCost(const Fleet &Engines) const;
-
-  // Tokens that a running request of the usual size holds, on average.
-  double usualTokens() const;
-
   // Requests that \p First runs or is about to, for all routers; as many as
   // this router knows of where there is no report.
   static unsigned runningAt(const FleetEndpoint &First);
--- a/packages/decide/tiling.h
+++ b/packages/decide/tiling.h
@@ -4,7 +4,6 @@
 
 #include "decide/path.h"
 
-#include <functional>
 #include <vector>
 
 namespace mimosadale::decide {
@@ -13,26 +12,16 @@
 /// with the fewest stages; empty when there is none. Safe from any thread.
 Path fewestStages(const std::vector<StagePlan> &Held, std::uint32_t Layers);
 
-/// What it costs to run so many layers at an engine as one stage; above 0.
-using StageCost =
-    std::function<double(const EndpointId &, std::uint32_t Layers)>;
-
-/// The tiling of the least cost; it may run a part of what an engine holds.
-/// No engine comes twice; empty when there is none. Safe from any thread.
-Path cheapestStages(const std::vector<StagePlan> &Held, std::uint32_t Layers,
-                    const StageCost &Cost);
-
 /// The tiling that uses the layers of \p Lent as little as it can beside those
 /// of \p Own, no engine twice; empty when there is none. Safe from any thread.
 Path fewestLent(const std::vector<StagePlan> &Own,
                 const std::vector<StagePlan> &Lent, std::uint32_t Layers);
 
 /// As many tilings as can be found one after the other without using an engine
-/// twice, of the least cost or of the fewest stages. \p Held is left with the
-/// engines that none of them uses. Safe from any thread.
+/// twice. \p Held is left with the engines that none of them uses. Safe from
+/// any thread.
 std::vector<Path> disjointTilings(std::vector<StagePlan> &Held,
-                                  std::uint32_t Layers,
-                                  const StageCost &Cost = nullptr);
+                                  std::uint32_t Layers);
 
 } // namespace mimosadale::decide
 
