--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <random>
 #include <set>
 
 using namespace mimosadale;
@@ -329,6 +330,45 @@
     }
 }
 
+TEST_CASE(
+    "chains of any fleet: every layer once and in order, no engine twice, "
+    "only layers that are held") {
+  std::mt19937 Draw(20261204);
+  for (int Round = 0; Round < 300; ++Round) {
+    EngineModel Of = model();
+    Of.m_UsualPrompt = 700;
+    Of.m_UsualAnswer = 170;
+    Fleet Made;
+    const char *Kinds[] = {"a100s", "l4", "t4"};
+    for (int I = 0; I < 30; ++I) {
+      const std::uint32_t First = Draw() % 78;
+      const std::uint32_t Length = 1 + Draw() % 14;
+      const EndpointId Id("e" + std::to_string(I));
+      Made.put(engine(Id.str(), Kinds[Draw() % 3],
+                      {First, std::min(80u, First + Length)},
+                      Draw() % 2 ? "x" : "y"),
+               T0);
+      if (Draw() % 8 == 0)
+        Made.onRefusedPart(Id, T0);
+    }
+    ChainRouter Router;
+    Router.rebuild(Made, Llm, Of);
+    for (const Chain &Each : Router.chains()) {
+      std::uint32_t Next = 0;
+      std::set<EndpointId> Seen;
+      for (const StagePlan &Stage : Each.m_Stages) {
+        CHECK(Stage.m_Layers.m_First == Next);
+        CHECK(Seen.insert(Stage.m_Endpoint).second);
+        const LayerRange Held = Made.find(Stage.m_Endpoint)->m_Record.m_Layers;
+        CHECK(Stage.m_Layers.m_First >= Held.m_First);
+        CHECK(Stage.m_Layers.m_End <= Held.m_End);
+        Next = Stage.m_Layers.m_End;
+      }
+      CHECK(Next == 80);
+    }
+  }
+}
+
 TEST_CASE("memory in use counts at every stage, by the engine's own total") {
   Fleet Made;
   for (const std::string Centre : {"x", "y"})
