A stream that is moved takes its room when its send is ended

Change: the chain is chosen and charged when the send is ended, and used for the next send if its engines may still be used; else the room is given back. What is left: a moved stream is refused by an engine that has just begun to leave, and is broken off since no other chain has room; it should wait for a chain while its caller does.

--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -112,6 +112,7 @@
                       {"last_event", m_Events.lastId()}});
     co_return true;
   }
+  releaseReserved();
   if (auto *Refuse = std::get_if<decide::RefuseForward>(&Step)) {
     decide::Refusal Why = Refuse->m_Refusal;
     co_await refuse(std::move(Why));
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -54,6 +54,7 @@
   bool prepare();
   std::optional<Target> chooseTarget();
   std::optional<Target> chooseChain();
+  Target targetOf(const decide::Chain &Of) const;
   std::optional<Target> choosePlain();
   std::string describe(const decide::Chain &Of) const;
   void logSend(const decide::Chain &To) const;
@@ -76,6 +77,8 @@
   boost::asio::awaitable<void> toCaller(boost::asio::awaitable<void> Write);
   decide::PauseFacts pauseFacts(Instant Now) const;
   bool goElsewhere(Instant Now);
+  std::optional<Target> takeReserved();
+  void releaseReserved();
   bool repair(decide::RepairReach Reach, Instant Now);
   void repairOrMove(const decide::PauseFacts &Facts, Instant Now);
   boost::asio::awaitable<void> orderPath(decide::Path Fresh);
@@ -107,12 +110,14 @@
   bool m_Connecting = false;
   Instant m_SentAt{};
   Instant m_LastProgress{};
-  bool m_EventSeen = false;    // of the present send
-  bool m_Overdue = false;      // the engines of its path are to be asked
-  bool m_RetryTaken = false;   // from the budget, before the present send ended
-  bool m_Repairing = false;    // an order to change its path is under way
-  unsigned m_Repairs = 0;      // such orders for the present send
-  decide::EndpointSet m_Unfit; // engines that could not take a part of it
+  bool m_EventSeen = false;  // of the present send
+  bool m_Overdue = false;    // the engines of its path are to be asked
+  bool m_RetryTaken = false; // from the budget, before the present send ended
+  std::optional<Target> m_Reserved; // room taken there, likewise
+  bool m_Charged = false;           // the next send's room is taken already
+  bool m_Repairing = false;         // an order to change its path is under way
+  unsigned m_Repairs = 0;           // such orders for the present send
+  decide::EndpointSet m_Unfit;      // engines that could not take a part of it
   EventSplitter m_Events;
   std::optional<net::HttpResponse> m_Failure; // the endpoint's own, whole
   std::optional<Instant> m_FirstEvent;
--- a/packages/forward/forward_choice.cpp
+++ b/packages/forward/forward_choice.cpp
@@ -14,6 +14,8 @@
 }
 
 std::optional<ForwardCall::Target> ForwardCall::chooseChain() {
+  if (auto Reserved = takeReserved())
+    return Reserved;
   const decide::RequestSize Size =
       m_Facts.m_Size.value_or(decide::RequestSize{});
   const decide::Chain *Chosen = m_Shared.chainsOf(m_Service)->choose(
@@ -24,14 +26,41 @@
     return std::nullopt;
   }
   logSend(*Chosen);
+  return targetOf(*Chosen);
+}
+
+ForwardCall::Target ForwardCall::targetOf(const decide::Chain &Of) const {
   Target To;
-  To.m_Path = Chosen->m_Stages;
+  To.m_Path = Of.m_Stages;
   To.m_Endpoint = To.m_Path.front().m_Endpoint;
   To.m_Address = net::parseAddress(
       m_Shared.m_Fleet.find(To.m_Endpoint)->m_Record.m_Address);
   return To;
 }
 
+// The chain whose room this request took when its last send was ended, if all
+// of its engines may still be used.
+std::optional<ForwardCall::Target> ForwardCall::takeReserved() {
+  if (!m_Reserved)
+    return std::nullopt;
+  for (const decide::StagePlan &Each : m_Reserved->m_Path) {
+    const auto *Known = m_Shared.m_Fleet.find(Each.m_Endpoint);
+    if (!Known || !Known->passable() ||
+        m_Run->avoided().contains(Each.m_Endpoint)) {
+      releaseReserved();
+      return std::nullopt;
+    }
+  }
+  m_Charged = true;
+  return std::exchange(m_Reserved, std::nullopt);
+}
+
+void ForwardCall::releaseReserved() {
+  if (m_Reserved)
+    charge(*m_Reserved, -1);
+  m_Reserved.reset();
+}
+
 // The fill of a chain, and how old the report is that it rests on.
 std::string ForwardCall::describe(const decide::Chain &Of) const {
   const Instant Now = ForwardState::now();
--- a/packages/forward/forward_pauses.cpp
+++ b/packages/forward/forward_pauses.cpp
@@ -60,8 +60,9 @@
   return Facts;
 }
 
-// Takes a retry for this request if another chain has room for it. Taken at
-// once, since others that stand still at this moment want it too.
+// Takes a retry for this request if another chain has room for it, and that
+// room. Taken at once, since others that stand still at this moment want them
+// too.
 bool ForwardCall::goElsewhere(Instant Now) {
   if (m_Ended != Ended::No)
     return false;
@@ -73,6 +74,11 @@
       m_Shared.m_Random);
   m_RetryTaken =
       Other && m_Shared.budgetOf(m_Service).take(Now, m_Shared.m_Routers);
+  if (m_RetryTaken) {
+    logSend(*Other);
+    m_Reserved = targetOf(*Other);
+    charge(*m_Reserved, 1);
+  }
   return m_RetryTaken;
 }
 
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -34,7 +34,8 @@
   m_Events.dropPartial();
   m_SentAt = m_LastProgress = ForwardState::now();
   m_Waiting = true;
-  charge(m_Target, 1);
+  if (!std::exchange(m_Charged, false))
+    charge(m_Target, 1);
   std::optional<ForwardStep> Step;
   std::string Fault;
   try {
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -401,7 +401,7 @@
                           {"Queued", 0},
                           {"Running", 0},
                           {"KvUsed", 0},
-                          {"KvTotal", 1000000},
+                          {"KvTotal", m_Memory.load()},
                           {"Stalled", Stalled}});
 }
 
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -60,6 +60,8 @@
   void wake(const std::string &Id);
   /// Whether engines move running streams to other paths when told to.
   void setRepairs(bool Allowed) { m_Repairs = Allowed; }
+  /// The memory that engines report, in tokens times layers.
+  void setMemory(unsigned Total) { m_Memory = Total; }
   /// The endpoint says that it leaves; it goes on serving.
   void drain(const std::string &Id);
   /// The next \p Count answers of the endpoint are lost after it ran.
@@ -157,6 +159,7 @@
   // Coroutines that are left over end with the I/O context, after all else.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
   std::atomic<bool> m_Repairs = true;
+  std::atomic<unsigned> m_Memory = 1000000;
   std::vector<std::string> m_Violations;
   boost::json::array m_Routes;
   std::vector<std::string> m_Keys{"key"};
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -155,6 +155,31 @@
   CHECK(Platform.violations().empty());
 }
 
+TEST_CASE("many streams stand still and there is room for a few elsewhere: the "
+          "others wait, and go on when the engine does") {
+  Estate Platform;
+  fill(Platform);
+  Platform.setEventPause(30ms);
+  Platform.setRepairs(false);
+  Router At(Platform);
+  waitServing(At);
+  const Streams Open = openStreams(At, 12, 120);
+  // A stream takes 220 tokens of four layers at each engine: a chain of six
+  // streams or more is full for others, or has room for a few.
+  Platform.setMemory(7 * 220 * 4);
+  std::this_thread::sleep_for(1200ms); // until the engines have told it
+  const auto Path = Platform.pathOf("s0");
+  REQUIRE(Path.size() > 1);
+  Platform.silence(Path.back());
+  std::this_thread::sleep_for(900ms);
+  Platform.wake(Path.back());
+  for (const auto &Each : Open) {
+    CHECK(readOrdered(*Each, 1) == 120);
+    CHECK(Each->whole());
+  }
+  CHECK(Platform.violations().empty());
+}
+
 TEST_CASE("a caller leaves while nothing is sent: the engines stop working for "
           "it") {
   Estate Platform;
