--- a/packages/decide/answer_rule.cpp
+++ b/packages/decide/answer_rule.cpp
@@ -22,8 +22,8 @@
 // Part of its memory below which an engine has room for any usual request.
 constexpr double RoomLeft = 0.8;
 
-// The same where it is only expected: requests differ in size by a factor of
-// two at the usual spread.
+// The same where it is only expected: half of it, as an estimate by the number
+// of requests knows nothing of their sizes.
 constexpr double RoomExpected = 0.4;
 
 // A promise of "not run" without the endpoint's word would be false.
--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -1,5 +1,6 @@
 #include "decide/chain_router.h"
 
+#include "decide/answer_rule.h"
 #include "decide/tiling.h"
 
 #include <algorithm>
@@ -17,6 +18,9 @@
 // of requests on its chain: beyond the longest interval between reports.
 constexpr Duration OldReport = std::chrono::milliseconds(2500);
 
+// Age up to which an engine's report explains its refusal.
+constexpr Duration RecentReport = std::chrono::milliseconds(500);
+
 // Part of its answer that a running request has written, on average.
 constexpr double AnswerWritten = 0.5;
 
@@ -175,6 +179,14 @@
   return Room > 0 ? std::max(Reported, Of.m_KvInFlight) / Room : 1;
 }
 
+bool ChainRouter::refusesItsPart(const Fleet &Engines, const FleetEndpoint &Of,
+                                 unsigned Status, Instant Now) const {
+  std::optional<double> Told;
+  if (Of.m_Load && Now - Of.m_LoadAt < RecentReport)
+    Told = memoryTaken(Of);
+  return refusesPart(Status, Told, expectedTaken(Engines, Of, Now));
+}
+
 EndpointId ChainRouter::fullest(const Fleet &Engines, const Chain &Of,
                                 Instant Now) const {
   EndpointId Found = Of.m_Stages.front().m_Endpoint;
--- a/packages/decide/reader_chooser.cpp
+++ b/packages/decide/reader_chooser.cpp
@@ -2,12 +2,15 @@
 
 #include "decide/rendezvous.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace mimosadale::decide {
 
 namespace {
 
-// Routers from which on one reads for the others: with fewer the calls saved
-// are worth less than the second way that a change then takes.
+// Routers from which on one reads for the others; as for the intervals between
+// reports, which grow from there on (`report_schedule.cpp`).
 constexpr std::size_t LeastRouters = 16;
 
 // Candidates for the reader of a data centre.
@@ -58,9 +61,18 @@
   m_FailedAt[Reader] = Now;
 }
 
-Duration readerWait() { return ReaderWait; }
-Duration readerPause() { return ReaderPause; }
-Duration followerWait() { return FollowerWait; }
-Duration followerPause() { return FollowerPause; }
+RowCall ReaderChooser::planCall(RowCall Own, Instant Now) const {
+  if (Own.m_Source == RowSource::Peer)
+    return Own;
+  if (readsForOthers(Now)) {
+    Own.m_Wait = std::min(Own.m_Wait, ReaderWait);
+    Own.m_Pause = ReaderPause;
+  } else if (auto Reader = reader(Now)) {
+    Own.m_Router = std::move(Reader);
+    Own.m_Wait = FollowerWait;
+    Own.m_Pause = FollowerPause;
+  }
+  return Own;
+}
 
 } // namespace mimosadale::decide
--- a/packages/decide/reader_chooser.h
+++ b/packages/decide/reader_chooser.h
@@ -3,6 +3,7 @@
 #define MIMOSADALE_DECIDE_READER_CHOOSER_H
 
 #include "base/units.h"
+#include "decide/row_cache.h"
 
 #include <map>
 #include <optional>
@@ -11,6 +12,17 @@
 
 namespace mimosadale::decide {
 
+/// One call for a table: where it goes, and how it is paced.
+struct RowCall {
+  RowSource m_Source = RowSource::Store;
+  std::optional<std::string> m_Router; // to ask instead of the store
+  Duration m_Wait{};                   // for a change
+  Duration m_Pause{};                  // after it, if it succeeds
+
+  bool fromStore() const { return m_Source == RowSource::Store && !m_Router; }
+  bool fromReader() const { return m_Source == RowSource::Store && m_Router; }
+};
+
 /// With many routers, one of each data centre reads the store and the others
 /// read from it: the store is asked a few times for each change instead of once
 /// by each router. A router whose reader fails takes the next one, and the
@@ -33,6 +45,12 @@
   /// Whether the others of the data centre read from this router.
   bool readsForOthers(Instant Now) const;
 
+  /// The next call for a table that one may read for the others, where \p Own
+  /// is the call of a router that reads for itself. A reader calls so often
+  /// that its rows are confirmed at all times. Calls to any other router, since
+  /// the store fails, are left as they are.
+  RowCall planCall(RowCall Own, Instant Now) const;
+
   /// \p Reader gave no answer, or refused since its rows are not confirmed.
   void onFailed(const std::string &Reader, Instant Now);
 
@@ -45,16 +63,6 @@
   std::map<std::string, Instant> m_FailedAt;
 };
 
-/// Longest wait of a reader's call to the store, and the pause after it: its
-/// rows are then confirmed at all times for those that read from it. Safe from
-/// any thread, like all below.
-Duration readerWait();
-Duration readerPause();
-
-/// The same of those that read from it.
-Duration followerWait();
-Duration followerPause();
-
 } // namespace mimosadale::decide
 
 #endif
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -59,6 +59,7 @@
   std::string describe(const decide::Chain &Of) const;
   void logSend(const decide::Chain &To) const;
   void logNoChain() const;
+  void onRefusal(const decide::FleetEndpoint &At, unsigned Status);
   void logRefusing(const decide::FleetEndpoint &At) const;
   void logRefusal(const decide::FleetEndpoint *At, const std::string &Address,
                   unsigned Status) const;
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -16,9 +16,6 @@
 constexpr Duration MostIdle = std::chrono::seconds(8);
 constexpr Duration MostIdleOnce = std::chrono::milliseconds(300);
 
-// Age up to which an engine's report explains its refusal.
-constexpr Duration RecentReport = std::chrono::milliseconds(500);
-
 // Whole answers longer than this are not taken in one piece.
 constexpr std::size_t MostAnswerBytes = 16u << 20;
 
@@ -106,17 +103,7 @@
       m_Shared.suspect(Id, "refused after a stall");
     else
       m_Shared.m_Accused.insert(Id);
-    const Instant Now = ForwardState::now();
-    const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
-    std::optional<double> Told;
-    if (Chains && At->m_Load && Now - At->m_LoadAt < RecentReport)
-      Told = Chains->memoryTaken(*At);
-    const double Expected =
-        Chains ? Chains->expectedTaken(m_Shared.m_Fleet, *At, Now) : 1;
-    if (!decide::refusesPart(Status, Told, Expected))
-      m_Shared.m_Fleet.onFull(Id, Now + decide::pauseOfFull());
-    else if (m_Shared.m_Fleet.onRefusedPart(Id, Now))
-      logRefusing(*At);
+    onRefusal(*At, Status);
   } else {
     // Its own queue is full: this request goes elsewhere, others may fit.
     Lost.insert(m_Target.m_Endpoint);
@@ -127,6 +114,20 @@
   return fault(SendFault::SaidNotRun, Lost);
 }
 
+// Keeps an engine that refused its part out of paths: for a moment if it is
+// full, until more is known if it refuses the part itself.
+void ForwardCall::onRefusal(const decide::FleetEndpoint &At, unsigned Status) {
+  const Instant Now = ForwardState::now();
+  const EndpointId Id = At.m_Record.m_Id;
+  const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
+  const bool Refuses =
+      Chains && Chains->refusesItsPart(m_Shared.m_Fleet, At, Status, Now);
+  if (!Refuses)
+    m_Shared.m_Fleet.onFull(Id, Now + decide::pauseOfFull());
+  else if (m_Shared.m_Fleet.onRefusedPart(Id, Now))
+    logRefusing(At);
+}
+
 // What was believed of the engine that refused, beside its refusal.
 void ForwardCall::logRefusal(const decide::FleetEndpoint *At,
                              const std::string &Address,
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -153,26 +153,18 @@
   return Others[Draw(m_Shared.m_Random)];
 }
 
-StoreWatch::Call StoreWatch::nextCall(const Table &Of) {
-  const Instant Now = ForwardState::now();
-  Call Next{Of.m_Source.next(), std::nullopt, Of.m_Source.wait(), Of.m_Pause()};
-  if (Next.m_Source == decide::RowSource::Peer) {
-    Next.m_Router = anyPeer();
-  } else if (Of.m_HasReaders && m_Readers.readsForOthers(Now)) {
-    Next.m_Wait = std::min(Next.m_Wait, decide::readerWait());
-    Next.m_Pause = decide::readerPause();
-  } else if (Of.m_HasReaders) {
-    Next.m_Router = m_Readers.reader(Now);
-    if (Next.m_Router) {
-      Next.m_Wait = decide::followerWait();
-      Next.m_Pause = decide::followerPause();
-    }
-  }
-  return Next;
+decide::RowCall StoreWatch::nextCall(const Table &Of) {
+  decide::RowCall Own;
+  Own.m_Source = Of.m_Source.next();
+  Own.m_Wait = Of.m_Source.wait();
+  Own.m_Pause = Of.m_Pause();
+  if (Own.m_Source == decide::RowSource::Peer)
+    Own.m_Router = anyPeer();
+  return Of.m_HasReaders ? m_Readers.planCall(Own, ForwardState::now()) : Own;
 }
 
-asio::awaitable<platform::Rows> StoreWatch::readOnce(Table &Of, Call How,
-                                                     bool Whole) {
+asio::awaitable<platform::Rows>
+StoreWatch::readOnce(Table &Of, decide::RowCall How, bool Whole) {
   const std::uint64_t After = Of.m_Cache.version();
   if (How.fromStore()) {
     m_Shared.m_Metrics.counted("store_call");
@@ -196,7 +188,7 @@
 asio::awaitable<void> StoreWatch::follow(Table &Of) {
   bool Whole = true;
   while (true) {
-    const Call How = nextCall(Of);
+    const decide::RowCall How = nextCall(Of);
     bool Failed = false;
     try {
       const platform::Rows Got = co_await readOnce(Of, How, Whole);
@@ -228,7 +220,8 @@
 }
 
 // A reader that failed is passed over at once: what it did not tell may be due.
-Duration StoreWatch::pauseAfter(Table &Of, const Call &How, bool Failed) {
+Duration StoreWatch::pauseAfter(Table &Of, const decide::RowCall &How,
+                                bool Failed) {
   if (!How.fromReader()) {
     const bool HasPeers = Of.m_FromRouters && m_Routers.size() > 1;
     return Of.m_Source.onCall(Failed, HasPeers, How.m_Pause);
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -58,26 +58,11 @@
     std::set<boost::asio::steady_timer *> m_Waiting; // for a change
   };
 
-  // Where the next call for a table goes, and how it is paced.
-  struct Call {
-    decide::RowSource m_Source = decide::RowSource::Store;
-    std::optional<std::string> m_Router; // to ask; none for the store
-    Duration m_Wait{};
-    Duration m_Pause{};
-
-    bool fromStore() const {
-      return m_Source == decide::RowSource::Store && !m_Router;
-    }
-    bool fromReader() const {
-      return m_Source == decide::RowSource::Store && m_Router;
-    }
-  };
-
   boost::asio::awaitable<void> follow(Table &Of);
-  Call nextCall(const Table &Of);
-  boost::asio::awaitable<platform::Rows> readOnce(Table &Of, Call How,
-                                                  bool Whole);
-  Duration pauseAfter(Table &Of, const Call &How, bool Failed);
+  decide::RowCall nextCall(const Table &Of);
+  boost::asio::awaitable<platform::Rows>
+  readOnce(Table &Of, decide::RowCall How, bool Whole);
+  Duration pauseAfter(Table &Of, const decide::RowCall &How, bool Failed);
   std::string ownRow() const;
   boost::asio::awaitable<bool> registerSelf(std::string Value);
   std::optional<std::string> anyPeer();
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -68,6 +68,21 @@
   return Last;
 }
 
+// The last engine of the first stream's path is silent for a while, longer than
+// any pause that a router bears; all streams must come back whole.
+void standStillAndGoOn(Estate &Platform, const Streams &Open, unsigned Events) {
+  const auto Path = Platform.pathOf("s0");
+  REQUIRE(Path.size() > 1);
+  Platform.silence(Path.back());
+  std::this_thread::sleep_for(900ms);
+  Platform.wake(Path.back());
+  for (const auto &Each : Open) {
+    CHECK(readOrdered(*Each, 1) == Events);
+    CHECK(Each->whole());
+  }
+  CHECK(Platform.violations().empty());
+}
+
 } // namespace
 
 TEST_CASE("a stream and calls come back whole; keys and routes are checked") {
@@ -143,16 +158,7 @@
   waitServing(At);
   std::this_thread::sleep_for(2200ms); // the budget grows for one window
   const Streams Open = openStreams(At, 12, 60);
-  const auto Path = Platform.pathOf("s0");
-  REQUIRE(Path.size() > 1);
-  Platform.silence(Path.back());
-  std::this_thread::sleep_for(900ms);
-  Platform.wake(Path.back());
-  for (const auto &Each : Open) {
-    CHECK(readOrdered(*Each, 1) == 60);
-    CHECK(Each->whole());
-  }
-  CHECK(Platform.violations().empty());
+  standStillAndGoOn(Platform, Open, 60);
 }
 
 TEST_CASE("many streams stand still and there is room for a few elsewhere: the "
@@ -168,16 +174,7 @@
   // streams or more is full for others, or has room for a few.
   Platform.setMemory(7 * 220 * 4);
   std::this_thread::sleep_for(1200ms); // until the engines have told it
-  const auto Path = Platform.pathOf("s0");
-  REQUIRE(Path.size() > 1);
-  Platform.silence(Path.back());
-  std::this_thread::sleep_for(900ms);
-  Platform.wake(Path.back());
-  for (const auto &Each : Open) {
-    CHECK(readOrdered(*Each, 1) == 120);
-    CHECK(Each->whole());
-  }
-  CHECK(Platform.violations().empty());
+  standStillAndGoOn(Platform, Open, 120);
 }
 
 TEST_CASE("a caller leaves while nothing is sent: the engines stop working for "
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -32,8 +32,8 @@
 constexpr int ShortestFaultMs = 100;
 constexpr int LongestFaultMs = 1800;
 
-// Time in which everything must be served once the faults are over, as the
-// platform's pages have it.
+// Time in which everything must be served once the faults are over: the
+// shortest that a site of the users asks for.
 constexpr auto RecoverWithin = 12s;
 
 // What callers saw. Guarded by its mutex.
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -21,6 +21,31 @@
 
 namespace {
 
+// Two data centres, x and y, with a chain of four engines each.
+Fleet twoCentres() {
+  Fleet Made;
+  for (const std::string Centre : {"x", "y"})
+    for (std::uint32_t I = 0; I < 4; ++I)
+      Made.put(engine(Centre + std::to_string(I), "a100s",
+                      {20 * I, 20 * I + 20}, Centre),
+               T0);
+  return Made;
+}
+
+// How often of 100 times \p Router chooses a chain of the data centre y, for
+// callers of x.
+int chosenElsewhere(const ChainRouter &Router, const Fleet &Engines) {
+  Random Rng(7);
+  int Count = 0;
+  for (int I = 0; I < 100; ++I) {
+    const Chain *Chosen =
+        Router.choose(Engines, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng);
+    REQUIRE(Chosen);
+    Count += Chosen->m_DataCentre.str() == "y";
+  }
+  return Count;
+}
+
 // 2 a100s, 4 l4 and 7 t4: the engines of one data centre.
 Fleet dataCentre() {
   Fleet Made;
@@ -200,26 +225,16 @@
 
 TEST_CASE(
     "a chain whose first engine is full gets nothing, the other one all") {
-  Fleet Made;
-  for (const std::string Centre : {"x", "y"})
-    for (std::uint32_t I = 0; I < 4; ++I)
-      Made.put(engine(Centre + std::to_string(I), "a100s",
-                      {20 * I, 20 * I + 20}, Centre),
-               T0);
+  Fleet Made = twoCentres();
   ChainRouter Router;
   Router.rebuild(Made, Llm, model());
   REQUIRE(Router.chains().size() == 2);
   Made.onFull(EndpointId("x0"), T0 + 1s);
-  Random Rng(7);
-  for (int I = 0; I < 100; ++I) {
-    const Chain *Chosen =
-        Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng);
-    REQUIRE(Chosen);
-    CHECK(Chosen->m_DataCentre.str() == "y");
-  }
+  CHECK(chosenElsewhere(Router, Made) == 100);
   EngineLoadReport Full;
   Full.m_Running = 192;
   Made.onReport(EndpointId("y0"), Full, T0);
+  Random Rng(7);
   CHECK(Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng) ==
         nullptr);
 }
@@ -229,12 +244,8 @@
   // Two chains a data centre with other borders; one engine of each chain
   // leaves while the store is down.
   const auto fleet = [] {
-    Fleet Made;
+    Fleet Made = twoCentres();
     for (const std::string Centre : {"x", "y"}) {
-      for (std::uint32_t I = 0; I < 4; ++I)
-        Made.put(engine(Centre + "a" + std::to_string(I), "a100s",
-                        {20 * I, 20 * I + 20}, Centre),
-                 T0);
       const LayerRange Other[] = {
           {0, 10}, {10, 30}, {30, 50}, {50, 70}, {70, 80}};
       for (std::uint32_t I = 0; I < 5; ++I)
@@ -244,8 +255,8 @@
     }
     return Made;
   };
-  const EndpointId Leaving[] = {EndpointId("xa1"), EndpointId("xb3"),
-                                EndpointId("ya0"), EndpointId("yb4")};
+  const EndpointId Leaving[] = {EndpointId("x1"), EndpointId("xb3"),
+                                EndpointId("y0"), EndpointId("yb4")};
   Fleet Made = fleet();
   ChainRouter Router;
   Router.rebuild(Made, Llm, model());
@@ -280,7 +291,7 @@
   }
   SUBCASE("the registry's word ends it: other layers are used, and one that "
           "leaves is not used even for a moment") {
-    Made.put(engine("xa1", "a100s", {20, 41}, "x"), T0 + 1s);
+    Made.put(engine("x1", "a100s", {20, 41}, "x"), T0 + 1s);
     CHECK(Made.find(Leaving[0])->passable());
     EndpointRecord Left = engine("xb3", "a100s", {50, 70}, "x");
     Left.m_Leaving = true;
@@ -370,12 +381,7 @@
 }
 
 TEST_CASE("memory in use counts at every stage, by the engine's own total") {
-  Fleet Made;
-  for (const std::string Centre : {"x", "y"})
-    for (std::uint32_t I = 0; I < 4; ++I)
-      Made.put(engine(Centre + std::to_string(I), "a100s",
-                      {20 * I, 20 * I + 20}, Centre),
-               T0);
+  Fleet Made = twoCentres();
   ChainRouter Router;
   Router.rebuild(Made, Llm, model());
   // It still holds layers that it is giving up: less room than its range says.
@@ -423,13 +429,7 @@
   Made.onReport(EndpointId("x0"), Busy, T0);
   Made.onReport(EndpointId("y0"), Busy, T0);
   CHECK(Router.fullest(Made, X, T0).str() == "x3");
-  Random Rng(7);
-  for (int I = 0; I < 100; ++I) {
-    const Chain *Chosen =
-        Router.choose(Made, {700, 200, 170}, DataCentreId("x"), {}, T0, Rng);
-    REQUIRE(Chosen);
-    CHECK(Chosen->m_DataCentre.str() == "y");
-  }
+  CHECK(chosenElsewhere(Router, Made) == 100);
   // Its own recent word goes before the estimate.
   EngineLoadReport Empty;
   Empty.m_KvTotal = 318000;
@@ -439,12 +439,7 @@
 }
 
 TEST_CASE("requests spread over chains by the room that they have") {
-  Fleet Made;
-  for (const std::string Centre : {"x", "y"})
-    for (std::uint32_t I = 0; I < 4; ++I)
-      Made.put(engine(Centre + std::to_string(I), "a100s",
-                      {20 * I, 20 * I + 20}, Centre),
-               T0);
+  Fleet Made = twoCentres();
   ChainRouter Router;
   Router.rebuild(Made, Llm, model());
   Random Rng(7);
--- a/tests/unit/row_cache_test.cpp
+++ b/tests/unit/row_cache_test.cpp
@@ -177,13 +177,28 @@
 // confirms are the store's of that moment; what changes after it must be heard
 // of in two seconds all the same.
 TEST_CASE("a reader that is cut off holds nobody back for two seconds") {
+  const std::vector<std::string> Here = routersOf(20);
+  RowCall Reads;
+  RowCall Follows;
+  for (const std::string &Each : Here) {
+    ReaderChooser Chooser;
+    Chooser.onRouters(Each, Here, 60);
+    RowCall Own;
+    Own.m_Wait = 20s;
+    Own.m_Pause = 1s;
+    (Chooser.readsForOthers(T0) ? Reads : Follows) = Chooser.planCall(Own, T0);
+    Own.m_Source = RowSource::Peer; // the store fails
+    CHECK(Chooser.planCall(Own, T0).m_Wait == 20s);
+  }
+  CHECK(Reads.fromStore());
+  CHECK(Follows.fromReader());
   RowCache Reader;
   Reader.take({{"a", "1", 3, false}}, 3, true);
   Reader.confirm(T0);
-  CHECK(Reader.confirmed(T0 + readerWait() + readerPause()));
+  CHECK(Reader.confirmed(T0 + Reads.m_Wait + Reads.m_Pause));
   Instant Now = T0;
   while (Reader.confirmed(Now))
-    Now += followerWait() + followerPause();
+    Now += Follows.m_Wait + Follows.m_Pause;
   CHECK(Now - T0 < 2s);
   RowCache Never;
   CHECK_FALSE(Never.confirmed(T0));
