Loads of engines: one router of a data centre asks, the others are told

Cause: each router asks the first and the fullest engine of every chain by itself.

Ruled out: asking less often still, since reports are two seconds old already; reports in the store's rows (a write a report).

Change: the router that reads the registry for its data centre asks for the others, at the intervals of a small fleet, and passes the reports on with their ages (protobuf, `schema/loads.proto`). A router that was told within three digests does not ask for loads, and asks a distrusted engine every 6 s instead of 1.5. What streams wait for is asked by each router as before. A reader that fails is passed over; without one a router asks as before. Only reports are passed on, never distrust: a reader that is cut off gives no engine up for the others.

--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -66,6 +66,7 @@
   }
   // Its refusals are explained; those of one that leaves go on.
   if (Known.m_Refusing && Record.m_Leaving)
+    Known.m_LoadAt = Now;
     Known.m_LeavingOver = true;
   Known.m_Refusing = false;
   Known.m_Refusals = 0;
@@ -161,7 +162,7 @@
 void Fleet::onReport(const EndpointId &Id, const EngineLoadReport &Load,
                      Instant Now) {
   const auto Found = m_All.find(Id);
-  if (Found == m_All.end())
+  if (Found == m_All.end() || Now < Found->second.m_LoadAt)
     return;
   Found->second.m_Load = Load;
   Found->second.m_LoadAt = Now;
--- a/packages/decide/report_schedule.cpp
+++ b/packages/decide/report_schedule.cpp
@@ -21,6 +21,15 @@
 constexpr Duration LongestFillingInterval = std::chrono::milliseconds(1000);
 constexpr Duration LongestLoadInterval = std::chrono::milliseconds(2000);
 
+// The same for a distrusted engine where another router's reports come: they
+// show sooner that it is back, unless it is that router that is cut off.
+constexpr Duration ToldSuspectInterval = std::chrono::seconds(6);
+
+// Interval between reports that a router takes for the others, of engines that
+// are not asked for another reason: one lost engine is found by the streams that
+// wait for it, long before.
+constexpr Duration ForOthersInterval = std::chrono::seconds(2);
+
 // The part taken from which on an engine fills up.
 constexpr double FillingPart = 0.6;
 
@@ -32,13 +41,18 @@
                     Interval, Longest);
 }
 
-Duration intervalOf(ReportReason Why, std::size_t Routers) {
+Duration intervalOf(ReportReason Why, const Askers &Of) {
+  const std::size_t Routers = Of.m_ForOthers ? 1 : Of.m_Routers;
   switch (Why) {
   case ReportReason::WaitedFor:
     return WaitedForInterval;
   case ReportReason::OnPath:
     return OnPathInterval;
+  case ReportReason::ForOthers:
+    return ForOthersInterval;
   case ReportReason::Suspect:
+    if (Of.m_Told)
+      return ToldSuspectInterval;
     return grown(SuspectInterval, LongestSuspectInterval, Routers);
   case ReportReason::Filling:
     return grown(FillingInterval, LongestFillingInterval, Routers);
@@ -51,10 +65,13 @@
 } // namespace
 
 bool ReportSchedule::due(const EndpointId &Engine, ReportReason Why,
-                         std::size_t Routers, Instant Now) {
+                         const Askers &Of, Instant Now) {
+  if (Of.m_Told &&
+      (Why == ReportReason::Load || Why == ReportReason::Filling))
+    return false;
   const auto Found = m_AskedAt.find(Engine);
   if (Found != m_AskedAt.end() &&
-      Now - Found->second < intervalOf(Why, Routers))
+      Now - Found->second < intervalOf(Why, Of))
     return false;
   std::erase_if(m_AskedAt, [&](const auto &Each) {
     return Now - Each.second > ForgetAfter;
--- a/packages/decide/report_schedule.h
+++ b/packages/decide/report_schedule.h
@@ -16,7 +16,15 @@
   OnPath,    // requests wait for some engine of a path that it is on
   Suspect,   // it is distrusted, and may be back
   Load,      // how full it is
-  Filling    // the same, of one that fills up
+  Filling,   // the same, of one that fills up
+  ForOthers  // whether it is there, and how full, for the other routers
+};
+
+/// Who asks the same engines.
+struct Askers {
+  std::size_t m_Routers = 1; // that there are, this one included
+  bool m_ForOthers = false;  // this one passes its reports on
+  bool m_Told = false;       // another one's reports come here
 };
 
 /// Bounds how often each engine is asked.
@@ -26,8 +34,9 @@
 class ReportSchedule {
 public:
   /// Whether \p Engine is to be asked now; if so, that is noted. The more
-  /// routers ask the same engines, the less often each asks for their load.
-  bool due(const EndpointId &Engine, ReportReason Why, std::size_t Routers,
+  /// routers ask the same engines, the less often each asks for their load; one
+  /// that is told of it does not ask.
+  bool due(const EndpointId &Engine, ReportReason Why, const Askers &Of,
            Instant Now);
 
   /// Whether an engine with this part of its room taken counts as filling up.
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -84,7 +84,11 @@
 // one, while there is traffic.
 void EngineWatch::askLoads(Instant Now) {
   const auto &Routes = m_Shared.m_Routes.current();
-  if (!Routes || m_Shared.m_Calls->empty())
+  const decide::Askers Askers = m_Shared.askers(Now);
+  if (Askers.m_ForOthers)
+    askForOthers(Now);
+  if (!Routes || Askers.m_Told ||
+      (m_Shared.m_Calls->empty() && !Askers.m_ForOthers))
     return;
   for (const decide::ServiceInfo &Each : Routes->config().m_Services) {
     const decide::ChainRouter *Chains = m_Shared.chainsOf(Each.m_Name);
@@ -101,6 +105,15 @@
   }
 }
 
+// The engines of this data centre, whose reports the other routers wait for.
+void EngineWatch::askForOthers(Instant Now) {
+  for (const auto &[Id, Known] : m_Shared.m_Fleet.all())
+    if (Known.m_Record.m_DataCentre.str() ==
+            m_Shared.m_Settings.data_centre() &&
+        Known.m_Record.m_Layers.m_End > 0 && !Known.m_Dropped)
+      askIfDue(Id, ReportReason::ForOthers, Now);
+}
+
 void EngineWatch::askIfDue(const EndpointId &Endpoint, ReportReason Why,
                            Instant Now) {
   const auto *Known = m_Shared.m_Fleet.find(Endpoint);
@@ -142,9 +155,7 @@
                        const platform::EngineReport &Report) {
   const Instant Now = ForwardState::now();
   m_Shared.m_Fleet.onReport(Endpoint, Report.m_Load, Now);
-  if (m_Shared.m_Fleet.clear(Endpoint))
-    router::logEvent(schema::INFO, "endpoint_trusted",
-                     {{"endpoint", Endpoint.str()}});
+  m_Shared.trust(Endpoint, "its report");
   for (const platform::StalledRequest &Each : Report.m_Stalled) {
     const auto *At = m_Shared.m_Fleet.findByAddress(Each.m_Address);
     if (!At || At->m_Record.m_Id == Endpoint)
--- a/packages/forward/engine_watch.h
+++ b/packages/forward/engine_watch.h
@@ -28,6 +28,7 @@
   void askAccused(Instant Now);
   void askSuspects(Instant Now);
   void askLoads(Instant Now);
+  void askForOthers(Instant Now);
   void askIfDue(const EndpointId &Endpoint, decide::ReportReason Why,
                 Instant Now);
   boost::asio::awaitable<void> ask(EndpointId Endpoint);
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -75,7 +75,7 @@
   Parts(schema::ForwardSettings Settings, ReloadHook Reload)
       : m_Reload(std::move(Reload)), m_Shared(m_Io, std::move(Settings)),
         m_Watch(m_Shared, [this] { onConfig(); }), m_Engines(m_Shared),
-        m_Layers(m_Shared),
+        m_Layers(m_Shared), m_Loads(m_Shared),
         m_Callers(makeServer(m_Shared.m_Settings.callers(),
                              [this](net::HttpExchange &Exchange) {
                                return serveCaller(Exchange);
@@ -100,12 +100,13 @@
     m_Readiness->start();
     m_MetricsPage->start();
     m_Peers->start();
-    spawn(m_Watch.followConfig());
-    spawn(m_Watch.followRegistry());
-    spawn(m_Watch.followRouters());
-    spawn(m_Engines.run());
-    spawn(m_Layers.run());
-    spawn(signalLoop());
+    keepRunning(m_Io, "configuration", [this] { return m_Watch.followConfig(); });
+    keepRunning(m_Io, "registry", [this] { return m_Watch.followRegistry(); });
+    keepRunning(m_Io, "routers", [this] { return m_Watch.followRouters(); });
+    keepRunning(m_Io, "engines", [this] { return m_Engines.run(); });
+    keepRunning(m_Io, "loads", [this] { return m_Loads.run(); });
+    keepRunning(m_Io, "layers", [this] { return m_Layers.run(); });
+    keepRunning(m_Io, "signals", [this] { return signalLoop(); });
     router::logEvent(schema::INFO, "started",
                      {{"name", Settings.name()},
                       {"data_centre", Settings.data_centre()},
@@ -164,8 +165,11 @@
 
   asio::awaitable<void> servePeer(net::HttpExchange &Exchange) {
     const auto Query = platform::decodeQuery(Exchange.request().m_Target);
-    net::HttpResponse Response = page(404, "allowed: questions for rows\n");
-    if (Query) {
+    net::HttpResponse Response =
+        page(404, "allowed: questions for rows or loads\n");
+    if (Exchange.request().m_Target == LoadsPath) {
+      Response = m_Loads.answer();
+    } else if (Query) {
       platform::RowsQuery Asked = *Query;
       Response = co_await m_Watch.answer(std::move(Asked));
     }
@@ -234,6 +238,7 @@
 
   asio::io_context m_Io{1};
   ReloadHook m_Reload;
+  LoadExchange m_Loads;
   ForwardState m_Shared;
   StoreWatch m_Watch;
   EngineWatch m_Engines;
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -37,6 +37,36 @@
   return m_Budgets.try_emplace(Service, Bounds, m_Begun).first->second;
 }
 
+void ForwardState::onAnswer(const EndpointId &From,
+                            const platform::AnswerFacts &Told) {
+  if (Told.m_Leaving && m_Fleet.onSaidLeaving(From, now())) {
+    m_Metrics.counted("endpoint_said_leaving");
+    router::logEvent(schema::INFO, "endpoint_leaving",
+                     {{"endpoint", From.str()}, {"source", "answer"}});
+  }
+  if (Told.m_Pause) {
+    m_Fleet.onPaused(From, now() + *Told.m_Pause);
+    m_Metrics.counted("endpoint_paused");
+    router::logEvent(schema::INFO, "endpoint_paused",
+                     {{"endpoint", From.str()},
+                      {"for_ms", router::millisText(*Told.m_Pause)}});
+  }
+}
+
+decide::Askers ForwardState::askers(Instant Now) const {
+  decide::Askers Of;
+  Of.m_Told = m_Loads.told(Now);
+  Of.m_ForOthers = m_Readers.readsForOthers(Now);
+  Of.m_Routers = m_Routers;
+  return Of;
+}
+
+void ForwardState::trust(const EndpointId &Endpoint, const std::string &Why) {
+  if (m_Fleet.clear(Endpoint))
+    router::logEvent(schema::INFO, "endpoint_trusted",
+                     {{"endpoint", Endpoint.str()}, {"reason", Why}});
+}
+
 void ForwardState::suspect(const EndpointId &Endpoint, const std::string &Why) {
   if (!m_Fleet.suspect(Endpoint, Why, now()))
     return;
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -12,6 +12,8 @@
 #include "platform/store_client.h"
 #include "router/metrics.h"
 #include "schema/generated/settings.pb.h"
+#include "platform/own_rows_codec.h"
+#include "platform/request_headers.h"
 
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -56,6 +58,16 @@
   static Instant now() { return std::chrono::steady_clock::now(); }
 
   boost::asio::io_context &m_Io;
+  /// Trusts it again, likewise. \param Why what showed that it is there.
+  void trust(const EndpointId &Endpoint, const std::string &Why);
+
+  /// How the engines are asked for their loads.
+  decide::Askers askers(Instant Now) const;
+
+  /// Takes what an answer of \p From says of the endpoint itself, whatever was
+  /// asked.
+  void onAnswer(const EndpointId &From, const platform::AnswerFacts &Told);
+
   schema::ForwardSettings m_Settings;
   router::Metrics m_Metrics;
   net::HttpClient m_Client; // store and reports
@@ -72,6 +84,9 @@
 
   /// Routers that come first for the lease, one after the other; the rest come
   /// last. `m_OrderRank` is this router's place, `OrderRanks` for the rest.
+  std::map<std::string, platform::RouterPlace> m_RouterPlaces; // by name
+  decide::ReaderChooser m_Readers;
+  decide::LoadSource m_Loads;
   static constexpr std::size_t OrderRanks = 3;
   std::size_t m_OrderRank = OrderRanks;
 
--- /dev/null
+++ b/packages/forward/load_exchange.cpp
@@ -0,0 +1,84 @@
+#include "forward/load_exchange.h"
+
+#include "router/log.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosadale::forward {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Time that a router may take for its answer, as for rows (`store_watch.cpp`).
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(300);
+
+} // namespace
+
+asio::awaitable<void> LoadExchange::run() {
+  asio::steady_timer Timer(m_Shared.m_Io);
+  while (true) {
+    if (auto Reader = m_Shared.m_Readers.reader(ForwardState::now()))
+      co_await ask(std::move(*Reader));
+    Timer.expires_after(decide::LoadSource::pause());
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> LoadExchange::ask(std::string Reader) {
+  const auto Place = m_Shared.m_RouterPlaces.find(Reader);
+  if (Place == m_Shared.m_RouterPlaces.end())
+    co_return;
+  const Instant Asked = ForwardState::now();
+  net::ExchangeOptions Options;
+  Options.m_ConnectTimeout = AnswerTimeout;
+  Options.m_Timeout = AnswerTimeout;
+  net::HttpRequest Request;
+  Request.m_Target = LoadsPath;
+  std::string Fault;
+  try {
+    const net::HttpResponse Answer = co_await m_Shared.m_Client.exchange(
+        net::parseAddress(Place->second.m_Peers), std::move(Request), Options);
+    if (Answer.m_Status == 200)
+      take(Answer.m_Body, Asked);
+    else
+      Fault = "status " + std::to_string(Answer.m_Status);
+  } catch (const Error &Wrong) {
+    Fault = Wrong.what();
+  }
+  if (Fault.empty())
+    co_return;
+  // It is passed over for the registry too: what it did not tell may be due.
+  m_Shared.m_Readers.onFailed(Reader, ForwardState::now());
+  m_Shared.m_Metrics.counted("load_reader_failed");
+  router::logEvent(schema::WARN, "load_reader_failed",
+                   {{"router", Reader}, {"detail", Fault}});
+}
+
+void LoadExchange::take(const std::string &Body, Instant Asked) {
+  schema::LoadDigest Digest;
+  if (!Digest.ParseFromString(Body))
+    throw Error("loads that cannot be read");
+  const auto Back = decide::takeDigest(m_Shared.m_Fleet, Digest, Asked);
+  for (const EndpointId &Each : Back)
+    m_Shared.trust(Each, "another router's report");
+  m_Shared.m_Loads.onDigest(ForwardState::now());
+}
+
+net::HttpResponse LoadExchange::answer() const {
+  const Instant Now = ForwardState::now();
+  net::HttpResponse Answer;
+  // A router that asks for itself alone knows too little for others.
+  const decide::Askers Askers = m_Shared.askers(Now);
+  if (!Askers.m_ForOthers && !Askers.m_Told) {
+    Answer.m_Status = 503;
+    return Answer;
+  }
+  Answer.m_Headers.push_back({"Content-Type", "application/octet-stream"});
+  Answer.m_Body =
+      decide::digestOf(m_Shared.m_Fleet, Now).SerializeAsString();
+  return Answer;
+}
+
+} // namespace mimosadale::forward
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -112,29 +112,29 @@
 // get smaller by that.
 void StoreWatch::takeRouters(const platform::Rows &Changes, bool Whole) {
   if (Whole)
-    m_Routers.clear();
+    m_Shared.m_RouterPlaces.clear();
   for (const platform::Row &Each : Changes.m_Rows) {
-    m_Routers.erase(Each.m_Key);
+    m_Shared.m_RouterPlaces.erase(Each.m_Key);
     if (Each.m_Dropped)
       continue;
     try {
-      m_Routers[Each.m_Key] = platform::decodeRouter(Each.m_Value);
+      m_Shared.m_RouterPlaces[Each.m_Key] = platform::decodeRouter(Each.m_Value);
     } catch (const Error &Wrong) {
       router::logEvent(schema::WARN, "router_row_unreadable",
                        {{"router", Each.m_Key}, {"detail", Wrong.what()}});
     }
   }
   const std::string &Self = m_Shared.m_Settings.name();
-  m_Routers[Self] = {m_Shared.m_Settings.peers(),
+  m_Shared.m_RouterPlaces[Self] = {m_Shared.m_Settings.peers(),
                      DataCentreId(m_Shared.m_Settings.data_centre())};
   std::vector<std::string> All;
   std::vector<std::string> Here;
-  for (const auto &[Name, Place] : m_Routers) {
+  for (const auto &[Name, Place] : m_Shared.m_RouterPlaces) {
     All.push_back(Name);
     if (Place.m_DataCentre.str() == m_Shared.m_Settings.data_centre())
       Here.push_back(Name);
   }
-  m_Readers.onRouters(Self, Here, All.size());
+  m_Shared.m_Readers.onRouters(Self, Here, All.size());
   m_Shared.m_Routers = All.size();
   m_Shared.m_RoutersRead = true;
   m_Shared.m_OrderRank = rankOf(All, Self);
@@ -144,7 +144,7 @@
 // Another router, drawn by chance.
 std::optional<std::string> StoreWatch::anyPeer() {
   std::vector<std::string> Others;
-  for (const auto &[Name, Place] : m_Routers)
+  for (const auto &[Name, Place] : m_Shared.m_RouterPlaces)
     if (Name != m_Shared.m_Settings.name())
       Others.push_back(Name);
   if (Others.empty())
@@ -160,7 +160,7 @@
   Own.m_Pause = Of.m_Pause();
   if (Own.m_Source == decide::RowSource::Peer)
     Own.m_Router = anyPeer();
-  return Of.m_HasReaders ? m_Readers.planCall(Own, ForwardState::now()) : Own;
+  return Of.m_HasReaders ? m_Shared.m_Readers.planCall(Own, ForwardState::now()) : Own;
 }
 
 asio::awaitable<platform::Rows>
@@ -174,8 +174,8 @@
                                              StoreSlack);
   }
   const auto Place =
-      How.m_Router ? m_Routers.find(*How.m_Router) : m_Routers.end();
-  if (Place == m_Routers.end())
+      How.m_Router ? m_Shared.m_RouterPlaces.find(*How.m_Router) : m_Shared.m_RouterPlaces.end();
+  if (Place == m_Shared.m_RouterPlaces.end())
     throw platform::StoreCallError("no other router is known");
   m_Shared.m_Metrics.counted("router_asked");
   platform::StoreClient Other(
@@ -223,12 +223,12 @@
 Duration StoreWatch::pauseAfter(Table &Of, const decide::RowCall &How,
                                 bool Failed) {
   if (!How.fromReader()) {
-    const bool HasPeers = Of.m_FromRouters && m_Routers.size() > 1;
+    const bool HasPeers = Of.m_FromRouters && m_Shared.m_RouterPlaces.size() > 1;
     return Of.m_Source.onCall(Failed, HasPeers, How.m_Pause);
   }
   if (!Failed)
     return How.m_Pause;
-  m_Readers.onFailed(*How.m_Router, ForwardState::now());
+  m_Shared.m_Readers.onFailed(*How.m_Router, ForwardState::now());
   m_Shared.m_Metrics.counted("reader_failed");
   router::logEvent(schema::WARN, "reader_failed",
                    {{"table", Of.m_Name}, {"router", *How.m_Router}});
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -76,8 +76,6 @@
   ForwardState &m_Shared;
   std::function<void()> m_OnConfig;
   std::map<std::string, bool> m_Reachable; // by table
-  std::map<std::string, platform::RouterPlace> m_Routers;
-  decide::ReaderChooser m_Readers;
   Table m_Config;
   Table m_Registry;
   Table m_RouterRows;
