Standing tasks that meet an unexpected error are made anew

Cause: the loops that follow the store, watch engines and plan layers ran detached: an exception that none of their catch clauses names ended them without a word. The router went on with an old configuration or without time limits for good; an order to an engine that met one kept its place among those under way.

Change: `keepRunning` logs the error and makes the task anew; orders end on any exception.

--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -6,12 +6,11 @@
 #include "forward/layer_control.h"
 #include "forward/store_watch.h"
 #include "platform/names.h"
+#include "forward/task_guard.h"
 #include "router/log.h"
 #include "router/replies.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -121,10 +120,6 @@
   using Handler =
       std::function<asio::awaitable<void>(net::HttpExchange &Exchange)>;
 
-  void spawn(asio::awaitable<void> Task) {
-    asio::co_spawn(m_Io, std::move(Task), asio::detached);
-  }
-
   std::unique_ptr<net::HttpServer> makeServer(const std::string &Listen,
                                               Handler Handle) {
     net::ServerHooks Hooks;
--- a/packages/forward/forward_pauses.cpp
+++ b/packages/forward/forward_pauses.cpp
@@ -135,7 +135,7 @@
         co_await callEngine(Shared, First, Order, RepairTimeout);
     Status = Answer.m_Status;
     FaultAddress = platform::decodeOrderFault(Answer.m_Body);
-  } catch (const Error &Wrong) {
+  } catch (const std::exception &Wrong) {
     Detail = Wrong.what();
   }
   Shared.m_Metrics.counted("repair_ordered");
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -155,6 +155,10 @@
   }
   --m_InProgress;
   m_Shared.m_Metrics.counted("order_sent");
+  } catch (const std::exception &Wrong) {
+    // Whatever it is: an order that never ends would take a place for good.
+    Outcome = Wrong.what();
+    m_Orders.onUnanswered(Order.m_Engine, ForwardState::now());
   router::logEvent(schema::INFO, "engine_ordered",
                    {{"engine", Order.m_Engine.str()},
                     {"layers", std::to_string(Order.m_Layers.m_First) + "-" +
--- /dev/null
+++ b/tests/unit/task_guard_test.cpp
@@ -0,0 +1,20 @@
+// The standing tasks of a forwarding router.
+#include "forward/task_guard.h"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <stdexcept>
+
+using namespace mimosadale;
+
+TEST_CASE("a standing task that meets an unexpected error is made anew") {
+  boost::asio::io_context Io;
+  int Made = 0;
+  forward::keepRunning(Io, "test", [&]() -> boost::asio::awaitable<void> {
+    if (++Made < 3)
+      throw std::out_of_range("a message of another kind");
+    co_return;
+  });
+  Io.run();
+  CHECK(Made == 3);
+}
