--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -70,7 +70,9 @@
   std::vector<StagePlan> Refusing;
   for (const auto &[Id, Known] : Engines.all()) {
     const LayerRange Held = Known.m_Record.m_Layers;
-    if (Known.m_Record.m_Service != Service || Held.m_First >= Held.m_End)
+    // What the model does not have no engine holds: the entry is another's.
+    if (Known.m_Record.m_Service != Service || Held.m_First >= Held.m_End ||
+        Held.m_End > Model.m_Layers)
       continue;
     if (Known.m_Refusing && Known.usable())
       Refusing.push_back({Id, Held});
