An answer on a kept connection is taken by its id only

Cause: a router's questions and its requests share connections to engines. An answer without an id counted as the request's own, and a question took any answer: a late second copy of a report could be given to a caller as a success, and one of a caller's answer be read as a report.

Change: `answerOwner`: an echoed id decides; without one, on a kept connection, the exchange counts as broken. Unit test failed to build before, as nothing decided this; the process test (copies 15 ms late on every connection) passes with the old code too: the sequence is a race there and was not met in one run.

--- a/packages/decide/answer_rule.cpp
+++ b/packages/decide/answer_rule.cpp
@@ -48,6 +48,13 @@
   return SendFault::Failed;
 }
 
+AnswerOwner answerOwner(const std::string &Echoed, const std::string &Asked,
+                        bool Kept) {
+  if (!Echoed.empty())
+    return Echoed == Asked ? AnswerOwner::Ours : AnswerOwner::Other;
+  return Asked.empty() || !Kept ? AnswerOwner::Ours : AnswerOwner::Unknown;
+}
+
 bool refusesPart(unsigned Status, std::optional<double> Told, double Expected) {
   const bool Room = Told ? *Told < RoomLeft : Expected < RoomExpected;
   return Status == MisdirectedRequest || Room;
--- a/packages/decide/answer_rule.h
+++ b/packages/decide/answer_rule.h
@@ -6,6 +6,7 @@
 #include "decide/forward_run.h"
 
 #include <optional>
+#include <string>
 #include <variant>
 
 namespace mimosadale::decide {
@@ -27,6 +28,20 @@
 std::variant<Delivery, SendFault> judge(const AnswerFacts &Facts,
                                         CallKind Kind);
 
+/// Whose answer a connection brings.
+enum class AnswerOwner {
+  Ours,
+  Other,  // late or repeated, of an exchange before: to be read over
+  Unknown // it may be either, so that it tells nothing of this request
+};
+
+/// Endpoints repeat a request's id in its answer, and leave it out for questions
+/// that had none. \param Echoed the id in the answer; empty for none. \param
+/// Asked the id of the request; empty for a question without one. \param Kept
+/// whether the connection carried an exchange before.
+AnswerOwner answerOwner(const std::string &Echoed, const std::string &Asked,
+                        bool Kept);
+
 /// Whether a refusal that came so long after the request was sent means that an
 /// engine of the path is lost, rather than full.
 bool meansLost(unsigned Status, Duration After);
--- a/packages/forward/engine_client.cpp
+++ b/packages/forward/engine_client.cpp
@@ -56,9 +56,13 @@
     throw net::NetError(net::Phase::Connect, true, "timed out");
   Limit->m_Cancel = [Exchange = Open.get()] { Exchange->cancel(); };
   co_await Open->send(std::move(Request));
-  std::function<bool(const net::HttpResponse &)> Any =
-      [](const net::HttpResponse &) { return true; };
-  net::HttpResponse Answer = co_await Open->readHead(std::move(Any));
+  std::function<bool(const net::HttpResponse &)> IsOurs =
+      [Kept = Open->reused()](const net::HttpResponse &Each) {
+        return decide::answerOwner(platform::decodeAnswer(Each).m_RequestId, "",
+                                   Kept) == decide::AnswerOwner::Ours;
+      };
+  net::HttpResponse Answer = co_await Open->readHead(std::move(IsOurs));
+  Shared.onAnswer(To, platform::decodeAnswer(Answer));
   while (co_await Open->readSome(Answer.m_Body))
     ;
   co_return Answer;
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -90,6 +90,7 @@
   void charge(const Target &To, int Sign);
   void chargeMemory(const Target &To, int Sign);
   void end(Ended Why);
+  bool isOurs(const net::HttpResponse &Head, bool Kept) const;
   void logOutcome(const std::string &Outcome, unsigned Status);
 
   ForwardState &m_Shared;
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -184,9 +184,8 @@
   net::HttpRequest Request = encode(To);
   co_await Open->send(std::move(Request));
   std::function<bool(const net::HttpResponse &)> IsOurs =
-      [this](const net::HttpResponse &Each) {
-        const std::string Id = platform::decodeAnswer(Each).m_RequestId;
-        return Id.empty() || Id == m_Facts.m_Id.str();
+      [this, Kept = Open->reused()](const net::HttpResponse &Each) {
+        return isOurs(Each, Kept);
       };
   net::HttpResponse Head = co_await Open->readHead(std::move(IsOurs));
   m_LastProgress = ForwardState::now();
@@ -194,6 +193,22 @@
   co_return co_await passOn(From, std::move(Head));
 }
 
+bool ForwardCall::isOurs(const net::HttpResponse &Head, bool Kept) const {
+  const auto Owner = decide::answerOwner(
+      platform::decodeAnswer(Head).m_RequestId, m_Facts.m_Id.str(), Kept);
+  if (Owner == decide::AnswerOwner::Ours)
+    return true;
+  m_Shared.m_Metrics.counted("foreign_answer");
+  router::logEvent(schema::WARN, "foreign_answer",
+                   {{"request", m_Facts.m_Id.str()},
+                    {"endpoint", m_Target.m_Endpoint.str()},
+                    {"status", std::to_string(Head.m_Status)}});
+  if (Owner == decide::AnswerOwner::Unknown)
+    throw net::NetError(net::Phase::Read, false,
+                        "an answer without id on a kept connection");
+  return false;
+}
+
 asio::awaitable<std::optional<ForwardStep>>
 ForwardCall::passOn(net::UpstreamExchange &From, net::HttpResponse Head) {
   const platform::AnswerFacts Told = platform::decodeAnswer(Head);
--- a/tests/unit/forward_choice_test.cpp
+++ b/tests/unit/forward_choice_test.cpp
@@ -56,6 +56,83 @@
 TEST_CASE(
     "over all answers: no promise of \"not run\" but the endpoint's own") {
   for (const CallKind Kind :
+TEST_CASE("a plain service: an endpoint that asked for a pause gets nothing until "
+          "it is over") {
+  Fleet Made = endpoints();
+  Made.onPaused(EndpointId("near"), T0 + 2s);
+  CHECK(chosen(Made) == "far");
+  CHECK(chosen(Made, {}, T0 + 1999ms) == "far");
+  CHECK(chosen(Made, {}, T0 + 2s) == "near");
+  // A shorter pause does not end a longer one.
+  Made.onPaused(EndpointId("near"), T0 + 1s);
+  CHECK(chosen(Made, {}, T0 + 1500ms) == "far");
+  Made.onPaused(EndpointId("far"), T0 + 2s);
+  CHECK(chosen(Made, {}, T0 + 1500ms).empty());
+}
+
+TEST_CASE("an endpoint that says in an answer that it leaves stays so until a "
+          "later start, whatever its entry says") {
+  Fleet Made = endpoints();
+  EndpointRecord Near = Made.find(EndpointId("near"))->m_Record;
+  CHECK(Made.onSaidLeaving(EndpointId("near"), T0));
+  CHECK_FALSE(Made.onSaidLeaving(EndpointId("near"), T0));
+  CHECK(chosen(Made) == "far");
+  Made.put(Near, T0 + 1s); // as the registry has it
+  CHECK(chosen(Made) == "far");
+  // Its entry expires, and is back with the store some minutes later.
+  Made.remove(EndpointId("near"), T0 + 2s);
+  for (int Second = 2; Second < 300; ++Second)
+    Made.onTick(T0 + std::chrono::seconds(Second));
+  Made.put(Near, T0 + 300s);
+  CHECK(chosen(Made) == "far");
+  Made.replaceAll({Near}, T0 + 301s);
+  CHECK(chosen(Made).empty());
+  Near.m_StartedMs = 7;
+  Made.put(Near, T0 + 302s);
+  CHECK(chosen(Made).empty()); // its first word of a start is of this one
+  Near.m_StartedMs = 8;
+  Made.put(Near, T0 + 303s);
+  CHECK(chosen(Made) == "near");
+}
+
+TEST_CASE("an engine that asked for a pause: no chain leads through it") {
+  for (const char *Paused : {"first", "last"}) {
+    Fleet Engines;
+    Engines.put(tests::engine("first", "a100s", {0, 40}), T0);
+    Engines.put(tests::engine("last", "a100s", {40, 80}), T0);
+    Engines.put(tests::engine("whole", "h100", {0, 80}, "away"), T0);
+    EngineModel Model = tests::model();
+    Model.m_Kinds["a100s"].m_MemoryMb = 80000;
+    Model.m_Kinds["h100"] = {200000, 1, 1};
+    ChainRouter Chains;
+    Chains.rebuild(Engines, tests::Llm, Model);
+    REQUIRE(Chains.chains().size() == 2);
+    Engines.onPaused(EndpointId(Paused), T0 + 1s);
+    Random Rng(7);
+    const auto First = [&](Instant Now) {
+      std::set<std::string> Found;
+      for (int I = 0; I < 50; ++I)
+        if (const Chain *Chosen = Chains.choose(
+                Engines, {100, 100, 100}, DataCentreId("dc"), {}, Now, Rng))
+          Found.insert(Chosen->m_Stages.front().m_Endpoint.str());
+      return Found;
+    };
+    CHECK(First(T0) == std::set<std::string>{"whole"});
+    CHECK(First(T0 + 1s).contains("first"));
+  }
+}
+
+TEST_CASE("an answer on a kept connection is taken by its id only") {
+  using enum AnswerOwner;
+  CHECK(answerOwner("r1", "r1", true) == Ours);
+  CHECK(answerOwner("r0", "r1", true) == Other);
+  CHECK(answerOwner("r0", "r1", false) == Other);
+  CHECK(answerOwner("", "r1", true) == Unknown); // a question's second answer
+  CHECK(answerOwner("", "r1", false) == Ours);
+  CHECK(answerOwner("", "", true) == Ours);
+  CHECK(answerOwner("r0", "", true) == Other); // a request's second answer
+}
+
        {CallKind::Stream, CallKind::Idempotent, CallKind::AtMostOnce})
     for (unsigned Status = 200; Status < 600; ++Status)
       for (unsigned Bits = 0; Bits < 8; ++Bits) {
