A byte without an event is no progress of a stream

Cause: any byte reset the pause of a stream, so that one which stood still but brought a byte now and then was never sent on elsewhere and ended with its deadline. Change: whole events count. Process test "a stream that stands still but brings a byte now and then" failed before (1 of 60 events); "a sound stream with long pauses is left alone" held before and holds.

--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -247,10 +247,10 @@
 asio::awaitable<std::optional<ForwardStep>>
 ForwardCall::passOnEvents(net::UpstreamExchange &From) {
   while (co_await From.readSome(m_Events.buffer())) {
-    m_LastProgress = ForwardState::now();
     std::string Whole = m_Events.takeWhole();
     if (Whole.empty())
-      continue;
+      continue; // bytes without an event are no progress
+    m_LastProgress = ForwardState::now();
     if (m_FirstEvent)
       m_LongestPause = std::max(m_LongestPause, m_LastProgress - m_LastEvent);
     m_LastEvent = m_LastProgress;
