A stream that has begun waits for a chain while its caller does

Change: once a part of the answer is out, a repeatable stream without a chain or without a retry looks for one every 50 ms until its caller leaves, its time is over or it was sent twelve times, and forgets what refused it. Nothing that has not begun waits.

--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -7,6 +7,10 @@
 // Sends of one request in all, refused ones included.
 constexpr unsigned MostSends = 4;
 
+// The same once a part of the answer is out: an engine that leaves takes its
+// streams to chains that refuse for a second or two, at a few tries a second.
+constexpr unsigned MostSendsStarted = 12;
+
 // Time before the end in which a new send could not finish.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(20);
 
@@ -57,18 +61,26 @@
   m_Avoided.insert(Lost.begin(), Lost.end());
   const bool May = (repeatable() || m_Run.proof()) &&
                    (How != SendFault::Failed || !m_HeadDelivered);
-  const bool InTime = Now + LeastTimeLeft < end();
-  const bool Left =
-      m_Tried.size() < m_Start.m_MaxEndpoints && m_Sends < MostSends;
+  const bool Again = May && inTime(Now) && sendsLeft();
   // A send that never left is no second arrival at the service.
-  if (May && InTime && Left && (How == SendFault::NotSent || Budget()))
+  if (Again && (How == SendFault::NotSent || Budget()))
     return SendAgain{retryReason(How)};
+  if (Again && m_HeadDelivered)
+    return AwaitPlace{};
   return giveUp(How);
 }
 
+bool ForwardRun::inTime(Instant Now) const {
+  return Now + LeastTimeLeft < end();
+}
+
+bool ForwardRun::sendsLeft() const {
+  return m_Tried.size() < m_Start.m_MaxEndpoints &&
+         m_Sends < (m_HeadDelivered ? MostSendsStarted : MostSends);
+}
+
 bool ForwardRun::maySwitch(Instant Now) const {
-  return repeatable() && Now + LeastTimeLeft < end() &&
-         m_Tried.size() < m_Start.m_MaxEndpoints && m_Sends < MostSends;
+  return repeatable() && inTime(Now) && sendsLeft();
 }
 
 ForwardStep ForwardRun::giveUp(SendFault How) const {
@@ -81,7 +93,10 @@
       "no endpoint gave a whole answer", ComeBack)};
 }
 
-ForwardStep ForwardRun::onNoEndpoint(schema::Reason Why, Duration RetryAfter) {
+ForwardStep ForwardRun::onNoEndpoint(schema::Reason Why, Duration RetryAfter,
+                                     Instant Now) {
+  if (m_HeadDelivered && maySwitch(Now))
+    return AwaitPlace{};
   if (m_HeadDelivered)
     return CutOff{Why};
   return RefuseForward{
--- a/packages/decide/forward_run.h
+++ b/packages/decide/forward_run.h
@@ -34,6 +34,10 @@
   schema::RetryReason m_Why = schema::RETRY_UNSPECIFIED;
 };
 
+/// Part of the answer is out and no endpoint can go on with it now: look for
+/// one again in a moment, while the caller waits.
+struct AwaitPlace {};
+
 /// Give the caller this final answer, now.
 struct RefuseForward {
   Refusal m_Refusal;
@@ -48,7 +52,7 @@
 };
 
 using ForwardStep =
-    std::variant<SendAgain, RefuseForward, PassOnFailure, CutOff>;
+    std::variant<SendAgain, AwaitPlace, RefuseForward, PassOnFailure, CutOff>;
 
 /// Takes one retry from the budget that the routers share.
 using TakeRetry = std::function<bool()>;
@@ -82,7 +86,11 @@
   bool maySwitch(Instant Now) const;
 
   /// No endpoint can take the request now.
-  ForwardStep onNoEndpoint(schema::Reason Why, Duration RetryAfter);
+  ForwardStep onNoEndpoint(schema::Reason Why, Duration RetryAfter,
+                           Instant Now);
+
+  /// A place is looked for anew: what refused it before may have room now.
+  void onAwaitPlace() { m_Avoided.clear(); }
 
   /// The route's time-out or the caller's deadline has passed.
   ForwardStep onTimeout() const;
@@ -101,6 +109,8 @@
 
 private:
   bool repeatable() const;
+  bool inTime(Instant Now) const;
+  bool sendsLeft() const;
   ForwardStep giveUp(SendFault How) const;
 
   ForwardStart m_Start;
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -4,6 +4,9 @@
 #include "router/log.h"
 #include "router/replies.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace mimosadale::forward {
 
 namespace asio = boost::asio;
@@ -16,6 +19,10 @@
 constexpr Duration ComeBackFirst = std::chrono::milliseconds(1500);
 constexpr Duration ComeBackLast = std::chrono::milliseconds(4000);
 
+// Pause between two looks for a chain that can go on with a stream: a fraction
+// of the shortest pause that counts as late.
+constexpr Duration PlacePause = std::chrono::milliseconds(50);
+
 } // namespace
 
 ForwardCall::ForwardCall(ForwardState &Shared, net::HttpExchange &Exchange)
@@ -87,10 +94,14 @@
       Target Chosen = std::move(*To);
       Step = co_await sendTo(std::move(Chosen));
     } else {
-      Step = m_Run->onNoEndpoint(schema::NO_ENDPOINT, comeBack());
+      Step = m_Run->onNoEndpoint(schema::NO_ENDPOINT, comeBack(),
+                                 ForwardState::now());
     }
     if (!Step)
       co_return; // the answer is out
+    if (std::holds_alternative<decide::AwaitPlace>(*Step) &&
+        co_await awaitPlace())
+      continue;
     if (m_CallerGone) {
       logOutcome("caller_gone", 0);
       m_Exchange.abort();
@@ -116,18 +127,46 @@
   if (auto *Refuse = std::get_if<decide::RefuseForward>(&Step)) {
     decide::Refusal Why = Refuse->m_Refusal;
     co_await refuse(std::move(Why));
-  } else if (const auto *Cut = std::get_if<decide::CutOff>(&Step)) {
-    m_Shared.m_Metrics.refused(Cut->m_Why);
-    logOutcome("cut_off", 0);
-    m_Exchange.abort();
-  } else {
+  } else if (std::holds_alternative<decide::PassOnFailure>(Step)) {
     net::HttpResponse Answer = std::move(*m_Failure);
     logOutcome("endpoint_failure", Answer.m_Status);
     co_await m_Exchange.respond(std::move(Answer));
+  } else {
+    const auto *Cut = std::get_if<decide::CutOff>(&Step);
+    m_Shared.m_Metrics.refused(Cut ? Cut->m_Why : schema::NO_ENDPOINT);
+    logOutcome("cut_off", 0);
+    m_Exchange.abort();
   }
   co_return false;
 }
 
+// Waits until a chain can go on with the stream, and takes its room. \returns
+// false when the caller left or the time is over first.
+asio::awaitable<bool> ForwardCall::awaitPlace() {
+  const Instant Begun = ForwardState::now();
+  asio::steady_timer Timer(m_Shared.m_Io);
+  m_Run->onAwaitPlace();
+  while (!m_Reserved && !m_CallerGone &&
+         m_Run->maySwitch(ForwardState::now())) {
+    Timer.expires_after(PlacePause);
+    co_await Timer.async_wait(asio::use_awaitable);
+    const Instant Now = ForwardState::now();
+    if (const decide::Chain *Found = findChain({}, Now);
+        Found && m_Shared.budgetOf(m_Service).take(Now, m_Shared.m_Routers))
+      reserve(*Found);
+  }
+  m_Shared.m_Metrics.counted(m_Reserved ? "place_found" : "place_not_found");
+  router::logEvent(
+      schema::INFO, "place_awaited",
+      {{"request", m_Facts.m_Id.str()},
+       {"outcome", m_Reserved     ? "found"
+                   : m_CallerGone ? "caller left"
+                                  : "time over"},
+       {"last_event", m_Events.lastId()},
+       {"ms", router::millisText(ForwardState::now() - Begun)}});
+  co_return m_Reserved.has_value();
+}
+
 asio::awaitable<void> ForwardCall::refuse(decide::Refusal Why) {
   m_Shared.m_Metrics.refused(Why.reason());
   net::HttpResponse Response = router::refusalResponse(Why);
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -78,6 +78,9 @@
   boost::asio::awaitable<void> toCaller(boost::asio::awaitable<void> Write);
   decide::PauseFacts pauseFacts(Instant Now) const;
   bool goElsewhere(Instant Now);
+  boost::asio::awaitable<bool> awaitPlace();
+  const decide::Chain *findChain(const decide::EndpointSet &Avoid, Instant Now);
+  void reserve(const decide::Chain &Of);
   std::optional<Target> takeReserved();
   void releaseReserved();
   bool repair(decide::RepairReach Reach, Instant Now);
--- a/packages/forward/forward_choice.cpp
+++ b/packages/forward/forward_choice.cpp
@@ -16,11 +16,8 @@
 std::optional<ForwardCall::Target> ForwardCall::chooseChain() {
   if (auto Reserved = takeReserved())
     return Reserved;
-  const decide::RequestSize Size =
-      m_Facts.m_Size.value_or(decide::RequestSize{});
-  const decide::Chain *Chosen = m_Shared.chainsOf(m_Service)->choose(
-      m_Shared.m_Fleet, Size, DataCentreId(m_Shared.m_Settings.data_centre()),
-      m_Run->avoided(), ForwardState::now(), m_Shared.m_Random);
+  const decide::Chain *Chosen =
+      findChain(m_Run->avoided(), ForwardState::now());
   if (!Chosen) {
     logNoChain();
     return std::nullopt;
@@ -29,6 +26,26 @@
   return targetOf(*Chosen);
 }
 
+// A chain with room for this request without the engines of \p Avoid, or null.
+const decide::Chain *ForwardCall::findChain(const decide::EndpointSet &Avoid,
+                                            Instant Now) {
+  const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
+  return Chains
+             ? Chains->choose(
+                   m_Shared.m_Fleet,
+                   m_Facts.m_Size.value_or(decide::RequestSize{}),
+                   DataCentreId(m_Shared.m_Settings.data_centre()), Avoid, Now,
+                   m_Shared.m_Random)
+             : nullptr;
+}
+
+// Takes the room of the next send at once, before others can.
+void ForwardCall::reserve(const decide::Chain &Of) {
+  logSend(Of);
+  m_Reserved = targetOf(Of);
+  charge(*m_Reserved, 1);
+}
+
 ForwardCall::Target ForwardCall::targetOf(const decide::Chain &Of) const {
   Target To;
   To.m_Path = Of.m_Stages;
@@ -102,7 +119,8 @@
   const decide::FleetEndpoint *Chosen =
       decide::choosePlain(m_Shared.m_Fleet, m_Service,
                           DataCentreId(m_Shared.m_Settings.data_centre()),
-                          m_Run->avoided(), m_Shared.m_Random);
+                          m_Run->avoided(), ForwardState::now(),
+                          m_Shared.m_Random);
   if (!Chosen)
     return std::nullopt;
   Target To;
--- a/packages/forward/forward_pauses.cpp
+++ b/packages/forward/forward_pauses.cpp
@@ -68,17 +68,11 @@
     return false;
   decide::EndpointSet Avoid = m_Run->avoided();
   Avoid.insert(m_Target.m_Endpoint);
-  const decide::Chain *Other = m_Shared.chainsOf(m_Service)->choose(
-      m_Shared.m_Fleet, m_Facts.m_Size.value_or(decide::RequestSize{}),
-      DataCentreId(m_Shared.m_Settings.data_centre()), Avoid, Now,
-      m_Shared.m_Random);
+  const decide::Chain *Other = findChain(Avoid, Now);
   m_RetryTaken =
       Other && m_Shared.budgetOf(m_Service).take(Now, m_Shared.m_Routers);
-  if (m_RetryTaken) {
-    logSend(*Other);
-    m_Reserved = targetOf(*Other);
-    charge(*m_Reserved, 1);
-  }
+  if (m_RetryTaken)
+    reserve(*Other);
   return m_RetryTaken;
 }
 
