Endpoints' own word: Server-Leaving holds, Retry-After is kept

Change: decoded once in platform/, decided in decide/fleet: an endpoint that says in any answer (also a refusal, a report, the head of a stream) that it leaves is out of choice at once, whatever its entry says, through a lost entry that comes back, until a later start. A 503 with Retry-After keeps requests, questions and orders of this router from it, and paths from leading through it, for so long.

--- a/packages/decide/chain_router.cpp
+++ b/packages/decide/chain_router.cpp
@@ -127,7 +127,7 @@
 double ChainRouter::fill(const Fleet &Engines, const Chain &Of,
                          Instant Now) const {
   const FleetEndpoint *First = Engines.find(Of.m_Stages.front().m_Endpoint);
-  if (!First || Now < First->m_FullUntil)
+  if (!First || Now < First->m_FullUntil || First->paused(Now))
     return 1;
   const unsigned Running = runningAt(*First);
   double Most = m_Model.m_FirstStageSlots > 0
@@ -135,7 +135,7 @@
                     : 0;
   for (const StagePlan &Each : Of.m_Stages) {
     const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
-    if (!Known || Now < Known->m_FullUntil)
+    if (!Known || Now < Known->m_FullUntil || Known->paused(Now))
       return 1;
     Most = std::max(Most, expectedTaken(Engines, *Known, Now));
   }
--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -11,6 +11,10 @@
 // half of the shortest time in which it must get nothing more.
 constexpr Duration LeavingUse = std::chrono::milliseconds(1000);
 
+// Time for which an endpoint that said that it leaves is remembered without an
+// entry: entries come back with the store, whose outages last minutes.
+constexpr Duration LeavingRemembered = std::chrono::minutes(10);
+
 // Time after which a report is overdue: many times the way to an engine and
 // back, and with the pause before it is asked below the shortest pause of a
 // stream that counts as late.
@@ -46,18 +50,23 @@
   return m_AskedAt && Now - *m_AskedAt > ReportOverdue;
 }
 
-void Fleet::put(const EndpointRecord &Record, Instant Now) {
+void Fleet::put(const EndpointRecord &Entry, Instant Now) {
+  EndpointRecord Record = Entry;
   FleetEndpoint &Known = m_All[Record.m_Id];
   const bool Restarted = Known.m_Record.m_StartedMs != 0 &&
                          Record.m_StartedMs > Known.m_Record.m_StartedMs;
   if (Restarted)
     Known = FleetEndpoint{};
   Known.m_Dropped = false;
+  // Its own word is newer than its entry, which a store that was away may bring
+  // back as it was.
+  Record.m_Leaving |= Known.m_SaidLeaving;
   if (samePlace(Known.m_Record, Record))
     return;
   // What it said of its memory is of other layers.
   if (Known.m_Record.m_Layers != Record.m_Layers) {
     Known.m_Load.reset();
+    Known.m_LoadAt = Now;
     m_LayersTaken += Record.m_Layers.m_End > 0 ? 1 : 0;
   }
   if (Record.m_Leaving && !Known.m_Record.m_Leaving) {
@@ -66,7 +75,6 @@
   }
   // Its refusals are explained; those of one that leaves go on.
   if (Known.m_Refusing && Record.m_Leaving)
-    Known.m_LoadAt = Now;
     Known.m_LeavingOver = true;
   Known.m_Refusing = false;
   Known.m_Refusals = 0;
@@ -121,7 +129,10 @@
 
 void Fleet::onTick(Instant Now) {
   std::erase_if(m_All, [&](const auto &Each) {
-    return Each.second.m_Dropped && Each.second.m_LeavingOver;
+    const FleetEndpoint &Known = Each.second;
+    return Known.m_Dropped && Known.m_LeavingOver &&
+           (!Known.m_SaidLeaving ||
+            Now - Known.m_LeavingSince > LeavingRemembered);
   });
   for (auto &[Id, Known] : m_All) {
     if (Known.m_Refusing && Now >= Known.m_RefusingUntil) {
@@ -180,6 +191,25 @@
     Found->second.m_AskedAt.reset();
 }
 
+bool Fleet::onSaidLeaving(const EndpointId &Id, Instant Now) {
+  const auto Found = m_All.find(Id);
+  if (Found == m_All.end() || Found->second.m_SaidLeaving)
+    return false;
+  FleetEndpoint &Known = Found->second;
+  Known.m_SaidLeaving = true;
+  if (!Known.m_Record.m_Leaving) {
+    Known.m_Record.m_Leaving = true;
+    Known.m_LeavingSince = Now;
+    ++m_Revision;
+  }
+  return true;
+}
+
+void Fleet::onPaused(const EndpointId &Id, Instant Until) {
+  if (const auto Found = m_All.find(Id); Found != m_All.end())
+    Found->second.m_PausedUntil = std::max(Found->second.m_PausedUntil, Until);
+}
+
 void Fleet::onFull(const EndpointId &Id, Instant Until) {
   if (const auto Found = m_All.find(Id); Found != m_All.end())
     Found->second.m_FullUntil = Until;
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -55,6 +55,9 @@
   Instant m_LoadAt{};
   std::optional<Instant> m_AskedAt; // a report was asked for and is not there
 
+  bool m_SaidLeaving = false; // in an answer; holds for this start of it
+  Instant m_PausedUntil{};    // it wants nothing from this host until then
+
   bool m_Replaced = false;    // a later start has its address
   bool m_Dropped = false;     // by the registry
   bool m_LeavingOver = false; // it has been leaving for too long to be used
@@ -67,6 +70,9 @@
   /// to distrust it.
   bool unanswered(Instant Now) const;
 
+  /// Whether it asked this host to send nothing for now.
+  bool paused(Instant Now) const { return Now < m_PausedUntil; }
+
   /// Whether layers may be planned on it.
   bool usable() const {
     return !m_Suspect && !m_Replaced && !m_Record.m_Leaving;
@@ -89,7 +95,7 @@
   /// Takes the registry's word. A later start under the same id forgets what
   /// was believed before; one at the same address replaces the endpoint that
   /// had it, whose entry may stay for a while.
-  void put(const EndpointRecord &Record, Instant Now);
+  void put(const EndpointRecord &Entry, Instant Now);
 
   /// The registry dropped \p Id: as one that leaves, since it may go on serving
   /// for a while, and it is forgotten after that.
@@ -117,6 +123,15 @@
   void onAsked(const EndpointId &Id, Instant Now);
   void onAskEnded(const EndpointId &Id);
 
+  /// \p Id said in an answer that it leaves. Holds whatever the registry says
+  /// until a later start, through a loss of its entry too. \returns whether that
+  /// is news.
+  bool onSaidLeaving(const EndpointId &Id, Instant Now);
+
+  /// \p Id asked for nothing from this host until \p Until. A shorter pause
+  /// never ends a longer one.
+  void onPaused(const EndpointId &Id, Instant Until);
+
   /// \p Id refused a request for want of a place: it gets none until \p Until.
   void onFull(const EndpointId &Id, Instant Until);
 
--- a/packages/decide/path_repair.cpp
+++ b/packages/decide/path_repair.cpp
@@ -34,7 +34,7 @@
     const EndpointRecord &Record = Known.m_Record;
     const bool OnPath = has(Broken, Id);
     if (OnPath || Unfit.contains(Id) || !Known.usable() || Known.slow() ||
-        Known.m_Refusing || Known.unanswered(Now) ||
+        Known.m_Refusing || Known.unanswered(Now) || Known.paused(Now) ||
         Record.m_Service != First->m_Record.m_Service ||
         Record.m_Layers.m_First >= Record.m_Layers.m_End)
       continue;
@@ -108,8 +108,11 @@
                 const Path &Broken, const EndpointSet &Lost,
                 const EndpointSet &Unfit, double Tokens, RepairReach Reach,
                 Instant Now) {
-  if (Broken.empty() || Lost.contains(Broken.front().m_Endpoint) ||
-      !Engines.find(Broken.front().m_Endpoint))
+  if (Broken.empty() || Lost.contains(Broken.front().m_Endpoint))
+    return {};
+  // The order goes to the first engine.
+  const FleetEndpoint *First = Engines.find(Broken.front().m_Endpoint);
+  if (!First || First->paused(Now))
     return {};
   std::vector<Offer> Offers =
       offersFor(Engines, Chains, Broken, Unfit, Reach, Now);
--- a/packages/decide/plain_router.cpp
+++ b/packages/decide/plain_router.cpp
@@ -16,13 +16,14 @@
 const FleetEndpoint *choosePlain(const Fleet &Endpoints,
                                  const ServiceId &Service,
                                  const DataCentreId &Here,
-                                 const EndpointSet &Avoid, Random &Rng) {
+                                 const EndpointSet &Avoid, Instant Now,
+                                 Random &Rng) {
   const FleetEndpoint *Best = nullptr;
   double BestCost = 0;
   std::uniform_real_distribution<double> Tie(0, TieSpread);
   for (const auto &[Id, Known] : Endpoints.all()) {
     if (Known.m_Record.m_Service != Service || Known.m_Record.m_Leaving ||
-        Avoid.contains(Id))
+        Known.paused(Now) || Avoid.contains(Id))
       continue;
     const double Cost =
         Known.m_InFlight +
--- a/packages/forward/engine_client.cpp
+++ b/packages/forward/engine_client.cpp
@@ -1,5 +1,6 @@
 #include "forward/engine_client.h"
 
+#include "decide/answer_rule.h"
 #include "platform/names.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -90,10 +90,10 @@
                      const std::string &FaultAddress);
   boost::asio::awaitable<void> refuse(decide::Refusal Why);
   net::HttpRequest encode(const Target &To) const;
+  bool isOurs(const net::HttpResponse &Head, bool Kept) const;
   void charge(const Target &To, int Sign);
   void chargeMemory(const Target &To, int Sign);
   void end(Ended Why);
-  bool isOurs(const net::HttpResponse &Head, bool Kept) const;
   void logOutcome(const std::string &Outcome, unsigned Status);
 
   ForwardState &m_Shared;
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -4,9 +4,10 @@
 #include "forward/forward_call.h"
 #include "forward/forward_state.h"
 #include "forward/layer_control.h"
+#include "forward/load_exchange.h"
 #include "forward/store_watch.h"
-#include "platform/names.h"
 #include "forward/task_guard.h"
+#include "platform/names.h"
 #include "router/log.h"
 #include "router/replies.h"
 
@@ -233,11 +234,11 @@
 
   asio::io_context m_Io{1};
   ReloadHook m_Reload;
-  LoadExchange m_Loads;
   ForwardState m_Shared;
   StoreWatch m_Watch;
   EngineWatch m_Engines;
   LayerControl m_Layers;
+  LoadExchange m_Loads;
   std::unique_ptr<net::HttpServer> m_Callers;
   std::unique_ptr<net::HttpServer> m_Readiness;
   std::unique_ptr<net::HttpServer> m_MetricsPage;
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -212,6 +212,7 @@
 asio::awaitable<std::optional<ForwardStep>>
 ForwardCall::passOn(net::UpstreamExchange &From, net::HttpResponse Head) {
   const platform::AnswerFacts Told = platform::decodeAnswer(Head);
+  m_Shared.onAnswer(m_Target.m_Endpoint, Told);
   decide::AnswerFacts Facts;
   Facts.m_Status = Head.m_Status;
   Facts.m_Events = Told.m_Events;
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -4,16 +4,19 @@
 
 #include "decide/chain_router.h"
 #include "decide/fleet.h"
+#include "decide/load_digest.h"
+#include "decide/reader_chooser.h"
+#include "decide/report_schedule.h"
 #include "decide/retry_budget.h"
 #include "decide/route_table.h"
 #include "decide/row_cache.h"
 #include "net/client.h"
 #include "net/upstream.h"
+#include "platform/own_rows_codec.h"
+#include "platform/request_headers.h"
 #include "platform/store_client.h"
 #include "router/metrics.h"
 #include "schema/generated/settings.pb.h"
-#include "platform/own_rows_codec.h"
-#include "platform/request_headers.h"
 
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -55,9 +58,6 @@
   /// Distrusts an endpoint and logs it, if that is news.
   void suspect(const EndpointId &Endpoint, const std::string &Why);
 
-  static Instant now() { return std::chrono::steady_clock::now(); }
-
-  boost::asio::io_context &m_Io;
   /// Trusts it again, likewise. \param Why what showed that it is there.
   void trust(const EndpointId &Endpoint, const std::string &Why);
 
@@ -68,6 +68,9 @@
   /// asked.
   void onAnswer(const EndpointId &From, const platform::AnswerFacts &Told);
 
+  static Instant now() { return std::chrono::steady_clock::now(); }
+
+  boost::asio::io_context &m_Io;
   schema::ForwardSettings m_Settings;
   router::Metrics m_Metrics;
   net::HttpClient m_Client; // store and reports
@@ -81,12 +84,12 @@
   bool m_Stopping = false;
   std::size_t m_Routers = MostRouters; // that share budgets with this one
   bool m_RoutersRead = false;
-
-  /// Routers that come first for the lease, one after the other; the rest come
-  /// last. `m_OrderRank` is this router's place, `OrderRanks` for the rest.
   std::map<std::string, platform::RouterPlace> m_RouterPlaces; // by name
   decide::ReaderChooser m_Readers;
   decide::LoadSource m_Loads;
+
+  /// Routers that come first for the lease, one after the other; the rest come
+  /// last. `m_OrderRank` is this router's place, `OrderRanks` for the rest.
   static constexpr std::size_t OrderRanks = 3;
   std::size_t m_OrderRank = OrderRanks;
 
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -77,6 +77,9 @@
   if (m_Lease.wantsRow(Now) && (Holds || m_Turn.comes(Taken, Now)))
     co_await takeLease();
   for (const decide::PlaceOrder &Each : Due) {
+    const auto *Known = m_Shared.m_Fleet.find(Each.m_Engine);
+    if (!Known || Known->paused(Now))
+      continue;
     const auto Fence = m_Lease.fence(ForwardState::now());
     if (!Fence || m_InProgress >= std::max(1u, AtOnce) * 8)
       co_return;
@@ -152,13 +155,13 @@
       m_Orders.onRefused(Order.m_Engine, ForwardState::now());
     else
       m_Orders.onUnanswered(Order.m_Engine, ForwardState::now());
-  }
-  --m_InProgress;
-  m_Shared.m_Metrics.counted("order_sent");
   } catch (const std::exception &Wrong) {
     // Whatever it is: an order that never ends would take a place for good.
     Outcome = Wrong.what();
     m_Orders.onUnanswered(Order.m_Engine, ForwardState::now());
+  }
+  --m_InProgress;
+  m_Shared.m_Metrics.counted("order_sent");
   router::logEvent(schema::INFO, "engine_ordered",
                    {{"engine", Order.m_Engine.str()},
                     {"layers", std::to_string(Order.m_Layers.m_First) + "-" +
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -2,7 +2,6 @@
 #ifndef MIMOSADALE_FORWARD_STORE_WATCH_H
 #define MIMOSADALE_FORWARD_STORE_WATCH_H
 
-#include "decide/reader_chooser.h"
 #include "decide/row_cache.h"
 #include "forward/forward_state.h"
 #include "net/http.h"
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -19,6 +19,7 @@
 
 constexpr unsigned Layers = 12;
 constexpr auto StallTime = 1500ms;
+constexpr auto DribblePause = 100ms;
 
 net::HttpResponse jsonAnswer(unsigned Status, const json::object &Body) {
   return {
@@ -214,6 +215,52 @@
   publish(*m_Endpoints.at(Id));
 }
 
+void Estate::sayLeaving(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Endpoints.at(Id)->m_SaysLeaving = true;
+}
+
+void Estate::dropEntry(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  Row &Of = m_Tables[platform::RegistryTable][Id];
+  Of = {Of.m_Value, ++m_Version, true};
+}
+
+void Estate::publishAgain(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  publish(*m_Endpoints.at(Id));
+}
+
+void Estate::refuseFor(const std::string &Id, std::chrono::seconds Pause) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Endpoints.at(Id)->m_RefusesFor = Pause;
+}
+
+int Estate::arrivals(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Endpoints.at(Id)->m_Arrivals;
+}
+
+void Estate::breakStreams(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  Endpoint &At = *m_Endpoints.at(Id);
+  At.m_RefusesFor = std::chrono::seconds(1);
+  std::erase_if(m_Streams, [&](const auto &Each) {
+    return Each.second.m_Path.front() == &At;
+  });
+}
+
+void Estate::dribble(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Endpoints.at(Id)->m_Dribbles = true;
+}
+
+void Estate::repeatAnswers(const std::string &Id,
+                           std::chrono::milliseconds After) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Endpoints.at(Id)->m_RepeatsAfter = After;
+}
+
 void Estate::loseAnswers(const std::string &Id, int Count) {
   const std::lock_guard Lock(m_Mutex);
   m_Endpoints.at(Id)->m_LostAnswers = Count;
@@ -356,11 +403,18 @@
   net::HttpResponse Answer;
   const std::string Expected = header(Request, platform::ExpectInstanceHeader);
   std::string Self;
+  std::chrono::seconds Refuses{};
   {
     const std::lock_guard Lock(m_Mutex);
     Self = At.m_Id;
+    Refuses = At.m_RefusesFor;
+    ++At.m_Arrivals;
   }
-  if (!Expected.empty() && Expected != Self) {
+  if (Refuses.count() > 0) {
+    Answer = notRun(503, At.address());
+    Answer.m_Headers.push_back(
+        {platform::RetryAfterHeader, std::to_string(Refuses.count())});
+  } else if (!Expected.empty() && Expected != Self) {
     Answer = notRun(421, At.address());
   } else if (Request.m_Target == platform::ReportPath) {
     Answer = At.m_Kind.empty() ? net::HttpResponse{404, {}, ""} : report(At);
@@ -386,7 +440,30 @@
               header(Request, platform::WorkspaceHeader) + " " +
                   Request.m_Target + " " + Request.m_Body};
   }
+  co_await answer(At, Exchange, std::move(Answer));
+}
+
+void Estate::mark(const Endpoint &At, net::HttpResponse &Answer) {
+  const std::lock_guard Lock(m_Mutex);
+  if (At.m_SaysLeaving)
+    Answer.m_Headers.push_back({platform::LeavingHeader, "1"});
+}
+
+// The next request on the connection is read after the copy.
+Estate::Task Estate::answer(Endpoint &At, net::HttpExchange &Exchange,
+                            net::HttpResponse Answer) {
+  mark(At, Answer);
+  std::chrono::milliseconds RepeatsAfter{};
+  {
+    const std::lock_guard Lock(m_Mutex);
+    RepeatsAfter = At.m_RepeatsAfter;
+  }
+  net::HttpResponse Copy = Answer;
   co_await Exchange.respond(std::move(Answer));
+  if (RepeatsAfter.count() == 0)
+    co_return;
+  co_await pause(RepeatsAfter);
+  co_await Exchange.respond(std::move(Copy));
 }
 
 net::HttpResponse Estate::report(const Endpoint &At) {
@@ -505,6 +582,11 @@
   return !WaitsFor.empty();
 }
 
+bool Estate::dribbles(const Endpoint &At) {
+  const std::lock_guard Lock(m_Mutex);
+  return At.m_Dribbles;
+}
+
 // Whether the stream's caller is still there.
 bool Estate::atWork(int Number) {
   const std::lock_guard Lock(m_Mutex);
@@ -534,7 +616,8 @@
     }
   }
   if (Refused) {
-    co_await Exchange.respond(std::move(*Refused));
+    net::HttpResponse Answer = std::move(*Refused);
+    co_await answer(At, Exchange, std::move(Answer));
     co_return;
   }
   const auto End = [this, Number, Alive = m_Alive] {
@@ -554,6 +637,7 @@
                           {platform::RequestIdHeader, Id},
                           {platform::SealHeader, Path.front()->m_Id}},
                          ""};
+  mark(At, Head);
   co_await Exchange.startStream(std::move(Head));
   for (unsigned I = Last.empty() ? 1 : std::stoul(Last) + 1; I <= Most; ++I) {
     co_await pause(m_Pause.load());
@@ -569,6 +653,13 @@
       Exchange.abort();
       co_return;
     }
+    if (dribbles(At)) {
+      std::string Comment = ":";
+      co_await Exchange.write(std::move(Comment));
+      co_await pause(DribblePause);
+      --I;
+      continue;
+    }
     std::string Event = "id: " + std::to_string(I) + "\ndata: token " +
                         std::to_string(I) + "\n\n";
     co_await Exchange.write(std::move(Event));
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -64,6 +64,21 @@
   void setMemory(unsigned Total) { m_Memory = Total; }
   /// The endpoint says that it leaves; it goes on serving.
   void drain(const std::string &Id);
+  /// The endpoint says so in its answers only; its entry stays as it is.
+  void sayLeaving(const std::string &Id);
+  /// The endpoint's entry is dropped, and comes back as it was.
+  void dropEntry(const std::string &Id);
+  void publishAgain(const std::string &Id);
+  /// The endpoint refuses all requests and asks for a pause in each answer.
+  void refuseFor(const std::string &Id, std::chrono::seconds Pause);
+  /// Requests and questions that reached the endpoint.
+  int arrivals(const std::string &Id);
+  /// Breaks off the streams that run at the endpoint, and refuses new ones.
+  void breakStreams(const std::string &Id);
+  /// Its streams bring a byte now and then that completes no event.
+  void dribble(const std::string &Id);
+  /// Each of its answers comes a second time so long after the first.
+  void repeatAnswers(const std::string &Id, std::chrono::milliseconds After);
   /// The next \p Count answers of the endpoint are lost after it ran.
   void loseAnswers(const std::string &Id, int Count);
   void setStore(StoreMode Mode, std::size_t Listener = 0) {
@@ -100,6 +115,11 @@
     bool m_Leaving = false;
     std::atomic<bool> m_Silent = false; // read without the mutex
     int m_LostAnswers = 0;
+    bool m_SaysLeaving = false;
+    std::chrono::seconds m_RefusesFor{};
+    int m_Arrivals = 0;
+    bool m_Dribbles = false;
+    std::chrono::milliseconds m_RepeatsAfter{};
     std::uint64_t m_Fence = 0;
     std::uint64_t m_Orders = 0;
 
@@ -129,6 +149,9 @@
   boost::json::object rowJson(const std::string &Table, const std::string &Key,
                               const Row &Of) const;
   Task handleEndpoint(Endpoint &At, net::HttpExchange &Exchange);
+  Task answer(Endpoint &At, net::HttpExchange &Exchange,
+              net::HttpResponse Answer);
+  void mark(const Endpoint &At, net::HttpResponse &Answer);
   Task stream(Endpoint &At, net::HttpExchange &Exchange);
   net::HttpResponse order(Endpoint &At, const std::string &Body);
   net::HttpResponse place(Endpoint &At, const boost::json::object &From);
@@ -138,6 +161,7 @@
                                            std::vector<Endpoint *> &Path,
                                            const std::vector<Endpoint *> &Kept);
   bool stalled(int Number);
+  bool dribbles(const Endpoint &At);
   bool atWork(int Number);
   net::HttpResponse report(const Endpoint &At);
   std::optional<net::HttpResponse> refusal(const Endpoint &At,
--- a/tests/unit/forward_choice_test.cpp
+++ b/tests/unit/forward_choice_test.cpp
@@ -1,6 +1,7 @@
 // Where a request goes without a chain, what an answer means, and how often
 // engines are asked.
 #include "decide/answer_rule.h"
+#include "decide/chain_router.h"
 #include "decide/plain_router.h"
 #include "decide/report_schedule.h"
 #include "decide/row_cache.h"
@@ -8,6 +9,7 @@
 #include "engine_fixture.h"
 
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace mimosadale;
 using namespace mimosadale::decide;
@@ -30,10 +32,11 @@
   return Made;
 }
 
-std::string chosen(const Fleet &Of, const EndpointSet &Avoid = {}) {
+std::string chosen(const Fleet &Of, const EndpointSet &Avoid = {},
+                   Instant Now = T0) {
   Random Rng(7);
   const FleetEndpoint *Found =
-      choosePlain(Of, Booking, DataCentreId("x"), Avoid, Rng);
+      choosePlain(Of, Booking, DataCentreId("x"), Avoid, Now, Rng);
   return Found ? Found->m_Record.m_Id.str() : "";
 }
 
@@ -53,9 +56,6 @@
   CHECK(chosen(Made).empty());
 }
 
-TEST_CASE(
-    "over all answers: no promise of \"not run\" but the endpoint's own") {
-  for (const CallKind Kind :
 TEST_CASE("a plain service: an endpoint that asked for a pause gets nothing until "
           "it is over") {
   Fleet Made = endpoints();
@@ -133,6 +133,9 @@
   CHECK(answerOwner("r0", "", true) == Other); // a request's second answer
 }
 
+TEST_CASE(
+    "over all answers: no promise of \"not run\" but the endpoint's own") {
+  for (const CallKind Kind :
        {CallKind::Stream, CallKind::Idempotent, CallKind::AtMostOnce})
     for (unsigned Status = 200; Status < 600; ++Status)
       for (unsigned Bits = 0; Bits < 8; ++Bits) {
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -153,6 +153,53 @@
   CHECK(Value(platform::PathHeader).empty());
 }
 
+TEST_CASE("an endpoint's word of itself: it leaves, or wants a pause") {
+  const auto Decoded = [](unsigned Status, const char *Name,
+                          const char *Value) {
+    net::HttpResponse Answer;
+    Answer.m_Status = Status;
+    Answer.m_Headers = {{Name, Value}};
+    return platform::decodeAnswer(Answer);
+  };
+  CHECK(Decoded(200, "Server-Leaving", "1").m_Leaving);
+  CHECK(Decoded(503, "server-leaving", "1").m_Leaving);
+  CHECK_FALSE(Decoded(200, "Server-Leaving", "0").m_Leaving);
+  CHECK(Decoded(503, "Retry-After", "2").m_Pause == 2s);
+  CHECK(Decoded(503, "Retry-After", "0.25").m_Pause == 250ms);
+  CHECK(Decoded(503, "Retry-After", "1e300").m_Pause == 1h);
+  for (const char *Odd : {"", "-1", "0", "nan", "inf-", "soon",
+                          "Fri, 04 Dec 2026 09:00:00 GMT"})
+    CHECK_FALSE(Decoded(503, "Retry-After", Odd).m_Pause);
+  CHECK_FALSE(Decoded(200, "Retry-After", "2").m_Pause);
+}
+
+TEST_CASE("entries with figures out of bounds name no endpoint") {
+  const auto Entry = [](const std::string &More) {
+    return platform::decodeEntry(
+        "e", R"({"Service":"s","Address":"192.0.2.1:1","Zone":"z",
+                 "State":"ready",)" + More + "}");
+  };
+  CHECK(Entry(R"("Layers":{"From":0,"Target":8})").m_Layers.m_End == 8);
+  for (const char *Odd :
+       {R"("Layers":{"From":-1,"Target":8})", R"("Layers":{"From":9,"Target":8})",
+        R"("Layers":{"From":0,"Target":1e300})", R"("Layers":[7])",
+        R"("Slots":-3)", R"("born":-1e30)", R"("RouteType":7)"})
+    CHECK_THROWS_AS(Entry(Odd), platform::DecodeError);
+}
+
+TEST_CASE("a caller's figures out of bounds count as absent or as the bound") {
+  const auto Deadline = [](const char *Value) {
+    net::HttpRequest Request;
+    Request.m_Headers = {{"X-Mimosadale-Deadline-Ms", Value}};
+    return platform::decodeRequest(Request).m_Deadline;
+  };
+  CHECK(Deadline("1500") == 1500ms);
+  CHECK(Deadline("1e300") == 24h);
+  CHECK(Deadline("-5") == 0ms);
+  CHECK_FALSE(Deadline("nan"));
+  CHECK_FALSE(Deadline("inf"));
+}
+
 TEST_CASE("the lease's row keeps its holder and its end") {
   const auto Row = platform::decodeLease(platform::encodeLease("r1", 512), 9);
   CHECK(Row.m_Holder.str() == "r1");
