Only an answer of the store that is taken confirms rows for others

Cause: rows counted as confirmed by any answer of the store, also by one that was not taken: that history is gone, or a table of seconds before, which a store that lost its history may give. A router that reads for others then told them that nothing had changed.

Change: RowCache confirms by what it takes.

--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -45,9 +45,11 @@
 }
 
 bool RowCache::take(const std::vector<CachedRow> &Rows, std::uint64_t Version,
-                    bool Whole) {
+                    bool Whole, std::optional<Instant> Store) {
   if (Version < m_Version)
     return false;
+  if (Store)
+    m_ConfirmedAt = Store;
   if (Whole) {
     m_Rows.clear();
     m_Oldest = Version;
--- a/packages/decide/row_cache.h
+++ b/packages/decide/row_cache.h
@@ -29,18 +29,18 @@
 public:
   /// Takes a whole table, or changes of it, as of \p Version. Older ones than
   /// those known are dropped, so that rows never go back, by whatever way they
-  /// come. \returns whether they were taken.
+  /// come. \param Store when the store itself gave this answer; none for
+  /// another router's. Only an answer that is taken confirms the rows: a store
+  /// that lost its history may answer with a table of seconds ago.
+  /// \returns whether they were taken.
   bool take(const std::vector<CachedRow> &Rows, std::uint64_t Version,
-            bool Whole);
+            bool Whole, std::optional<Instant> Store = std::nullopt);
 
   /// Whether a whole table was taken.
   bool known() const { return m_Known; }
 
-  /// The store answered this router that its rows are up to date.
-  void confirm(Instant Now) { m_ConfirmedAt = Now; }
-
-  /// Whether that was a moment ago, so that others may take it from here that
-  /// nothing changed.
+  /// Whether the store answered a moment ago that these rows are up to date, so
+  /// that others may take it from here that nothing changed.
   bool confirmed(Instant Now) const;
 
   /// All rows; changes after \p After only if it is given. None when those
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -192,16 +192,18 @@
     bool Failed = false;
     try {
       const platform::Rows Got = co_await readOnce(Of, How, Whole);
+      std::optional<Instant> Store;
       if (How.fromStore()) {
         noteStore(Of.m_Name, true, "");
-        Of.m_Cache.confirm(ForwardState::now());
+        Store = ForwardState::now();
       }
       if (Got.m_HistoryGone) {
         router::logEvent(schema::WARN, "store_history_gone",
                          {{"table", Of.m_Name},
                           {"after", std::to_string(Of.m_Cache.version())}});
         Whole = true;
-      } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole)) {
+      } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole,
+                                   Store)) {
         if (Whole || !Got.m_Rows.empty()) {
           Of.m_Take(Got, Whole,
                     How.fromStore() ? decide::RowSource::Store
--- a/tests/unit/row_cache_test.cpp
+++ b/tests/unit/row_cache_test.cpp
@@ -194,7 +194,7 @@
   CHECK(Follows.fromReader());
   RowCache Reader;
   Reader.take({{"a", "1", 3, false}}, 3, true);
-  Reader.confirm(T0);
+  Reader.take({}, 3, false, T0);
   CHECK(Reader.confirmed(T0 + Reads.m_Wait + Reads.m_Pause));
   Instant Now = T0;
   while (Reader.confirmed(Now))
@@ -203,3 +203,17 @@
   RowCache Never;
   CHECK_FALSE(Never.confirmed(T0));
 }
+
+TEST_CASE("a store that lost its history answers with a table of before: that "
+          "confirms nothing to those that read from this router") {
+  RowCache Reader;
+  REQUIRE(Reader.take({{"config", "old", 5}}, 5, true, T0));
+  REQUIRE(Reader.take({{"config", "new", 9}}, 9, false, T0 + 1s));
+  CHECK(Reader.confirmed(T0 + 2s));
+  CHECK_FALSE(Reader.take({{"config", "old", 5}}, 7, true, T0 + 3s));
+  CHECK_FALSE(Reader.confirmed(T0 + 3s));
+  CHECK(Reader.rows(std::nullopt)->front().m_Value == "new");
+  // Another router's word confirms nothing either.
+  REQUIRE(Reader.take({}, 9, false));
+  CHECK_FALSE(Reader.confirmed(T0 + 3s));
+}
