A planned stop answers what was opened, and refuses streams that it would cut

Cause: closing the listener reset connections that callers had opened, with the requests sent on them, and an accept that came with the stop was dropped; new connections were closed as idle before their first request. A stream that takes longer than the stop was taken up to two seconds into it and cut off at its end.

Ruled out: longer streams are not the fault of a slow drain: what is left at drain_timeout are requests in progress (each now has a line request_left).

Change: the connections that wait are taken before the listener closes, and have half a second for their first request; only kept ones are closed as idle. A stopping router refuses streams that would end after the stop, by the pace of those that ended, as not run, to come back after 50 ms at another router.

Process tests, failing with the old program: of 40 connections opened while the router stood still across its close 0 were answered, now 40; a stream of 2,000 tokens was taken (it ran once), now refused.

--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -19,6 +19,10 @@
 constexpr Duration ComeBackFirst = std::chrono::milliseconds(1500);
 constexpr Duration ComeBackLast = std::chrono::milliseconds(4000);
 
+// The same after a refusal by a router that stops: the next try reaches another
+// one, which the balancer chooses.
+constexpr Duration ComeBackAtStop = std::chrono::milliseconds(50);
+
 // Pause between two looks for a chain that can go on with a stream: a fraction
 // of the shortest pause that counts as late.
 constexpr Duration PlacePause = std::chrono::milliseconds(50);
@@ -61,6 +65,9 @@
     if (!m_Workspace)
       return Refuse(schema::UNAUTHENTICATED, "the key is not known");
   }
+  if (cutByStop())
+    return Refuse(schema::DRAINING, "this router stops before it would end",
+                  ComeBackAtStop);
   const double Draw =
       std::uniform_real_distribution<double>(0, 1)(m_Shared.m_Random);
   m_Service = m_Routes->chooseService(*m_Route, Draw);
@@ -75,6 +82,15 @@
   return true;
 }
 
+// Whether this router stops before the stream would end.
+bool ForwardCall::cutByStop() const {
+  return m_Shared.m_Stopping && m_Route->m_Kind == decide::CallKind::Stream &&
+         decide::endsAfterStop(
+             m_Shared.m_Pace.expected(
+                 m_Facts.m_Size ? m_Facts.m_Size->m_LikelyAnswer : 0),
+             m_Shared.m_StopAt - m_Arrived);
+}
+
 asio::awaitable<void> ForwardCall::serve() {
   if (!prepare()) {
     decide::Refusal Why = *m_Refused;
@@ -188,6 +204,18 @@
     m_Cancel();
 }
 
+void ForwardCall::logLeft() const {
+  const Instant Now = ForwardState::now();
+  router::logEvent(
+      schema::WARN, "request_left",
+      {{"request", m_Facts.m_Id.str()},
+       {"ms", router::millisText(Now - m_Arrived)},
+       {"events", std::to_string(m_EventCount)},
+       {"since_event_ms", m_FirstEvent
+                              ? router::millisText(Now - m_LastEvent)
+                              : "none"}});
+}
+
 void ForwardCall::logOutcome(const std::string &Outcome, unsigned Status) {
   std::vector<router::LogField> Fields{
       {"request", m_Facts.m_Id.str()},
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -39,6 +39,9 @@
 
   const RequestId &request() const { return m_Facts.m_Id; }
 
+  /// One line on a request that the end of the router leaves without its end.
+  void logLeft() const;
+
 private:
   // Where a request is sent.
   struct Target {
@@ -52,6 +55,7 @@
 
   Duration comeBack();
   bool prepare();
+  bool cutByStop() const;
   std::optional<Target> chooseTarget();
   std::optional<Target> chooseChain();
   Target targetOf(const decide::Chain &Of) const;
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -30,6 +30,10 @@
 // Part of the time to stop that is kept for the exit itself.
 constexpr Duration StopMargin = std::chrono::milliseconds(500);
 
+// Time after the listener closed in which connections that were opened before
+// may bring their first request: many times the way from a caller.
+constexpr Duration FirstRequestTime = std::chrono::milliseconds(500);
+
 constexpr Duration DrainCheckPause = std::chrono::milliseconds(25);
 
 // Most connections of callers at once; the descriptors left serve endpoints.
@@ -219,17 +223,26 @@
     const Instant Most =
         Begun + fromSeconds(m_Shared.m_Settings.stop_within_seconds()) -
         StopMargin;
+    m_Shared.m_StopAt = Most;
     m_Callers->closeAfterAnswers();
     while (ForwardState::now() < std::min(Begun + BalancerTime, Most))
       co_await pause(DrainCheckPause);
     m_Callers->stop();
     m_Callers->closeIdle();
-    while (!m_Shared.m_Calls->empty() && ForwardState::now() < Most)
+    const Instant Closed = ForwardState::now();
+    const auto MayBringMore = [&] {
+      return m_Callers->connections() > 0 &&
+             ForwardState::now() - Closed < FirstRequestTime;
+    };
+    while ((!m_Shared.m_Calls->empty() || MayBringMore()) &&
+           ForwardState::now() < Most)
       co_await pause(DrainCheckPause);
     if (!m_Shared.m_Calls->empty())
       router::logEvent(
           schema::WARN, "drain_timeout",
           {{"requests", std::to_string(m_Shared.m_Calls->size())}});
+    for (const ForwardCall *Each : *m_Shared.m_Calls)
+      Each->logLeft();
   }
 
   asio::io_context m_Io{1};
--- a/packages/forward/forward_send.cpp
+++ b/packages/forward/forward_send.cpp
@@ -267,6 +267,9 @@
   if (std::string Rest = m_Events.takeRest(); !Rest.empty())
     co_await toCaller(m_Exchange.write(std::move(Rest)));
   co_await toCaller(m_Exchange.finish());
+  if (m_Facts.m_Size && m_Facts.m_LastEvent.empty())
+    m_Shared.m_Pace.onEnded(m_Facts.m_Size->m_LikelyAnswer,
+                            ForwardState::now() - m_Arrived);
   logOutcome("answered", 200);
   co_return std::nullopt;
 }
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -10,6 +10,7 @@
 #include "decide/retry_budget.h"
 #include "decide/route_table.h"
 #include "decide/row_cache.h"
+#include "decide/stop_policy.h"
 #include "net/client.h"
 #include "net/upstream.h"
 #include "platform/own_rows_codec.h"
@@ -82,6 +83,8 @@
   const Instant m_Begun = now();
   bool m_RegistryRead = false;
   bool m_Stopping = false;
+  Instant m_StopAt{}; // when requests in progress are left, once it stops
+  decide::StreamPace m_Pace;
   std::size_t m_Routers = MostRouters; // that share budgets with this one
   bool m_RoutersRead = false;
   std::map<std::string, platform::RouterPlace> m_RouterPlaces; // by name
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -218,6 +218,7 @@
   void stop() {
     m_Stopping = true;
     asio::post(m_Acceptor.get_executor(), [Self = shared_from_this()] {
+      Self->takeWaiting();
       beast::error_code Ignored;
       Self->m_Acceptor.close(Ignored);
     });
@@ -293,21 +294,40 @@
       beast::error_code Code;
       tcp::socket Socket = co_await m_Acceptor.async_accept(
           Strand, asio::redirect_error(asio::use_awaitable, Code));
-      if (m_Stopping)
+      // What was accepted as the stop came is served like what waited.
+      if (m_Stopping && Code)
         co_return;
       if (Code) {
         asio::steady_timer Pause(m_Acceptor.get_executor(), AcceptPause);
         co_await Pause.async_wait(asio::use_awaitable);
         continue;
       }
-      beast::error_code Ignored;
-      Socket.set_option(tcp::no_delay(true), Ignored);
-      asio::co_spawn(
-          Strand,
-          [Self = shared_from_this(), Taken = std::move(Socket)]() mutable {
-            return Self->serve(std::move(Taken));
-          },
-          asio::detached);
+      spawnServe(std::move(Socket));
+    }
+  }
+
+  void spawnServe(tcp::socket Socket) {
+    beast::error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    const auto Strand = Socket.get_executor();
+    asio::co_spawn(
+        Strand,
+        [Self = shared_from_this(), Taken = std::move(Socket)]() mutable {
+          return Self->serve(std::move(Taken));
+        },
+        asio::detached);
+  }
+
+  // Connections that callers have opened already but that were not accepted
+  // yet: closing the listener would reset them, with what was sent on them.
+  void takeWaiting() {
+    beast::error_code Code;
+    m_Acceptor.non_blocking(true, Code);
+    while (!Code) {
+      tcp::socket Socket(asio::make_strand(m_Executor));
+      m_Acceptor.accept(Socket, Code);
+      if (!Code)
+        spawnServe(std::move(Socket));
     }
   }
 
@@ -339,11 +359,14 @@
     const std::uint64_t Number = ++m_Accepted;
     beast::flat_buffer Buffer;
     bool KeepAlive = true;
+    bool First = true;
     while (KeepAlive) {
       http::request_parser<http::string_body> Parser;
       Parser.header_limit(static_cast<std::uint32_t>(limits().m_HeaderBytes));
       Parser.body_limit(limits().m_BodyBytes);
-      const beast::error_code Code = co_await readOne(In, Buffer, Parser);
+      const beast::error_code Code =
+          co_await readOne(In, Buffer, Parser, First);
+      First = false;
       if (Code) {
         if (auto Refusal =
                 refusalOf(Code, Parser.got_some() || Buffer.size() > 0))
@@ -397,15 +420,19 @@
   }
 
   // Waits for a first byte as long as an idle connection may, then for the rest
-  // of the request as long as one request may take.
+  // of the request as long as one request may take. A new connection is not
+  // listed as idle: its first request is on its way.
   template <typename Stream, typename Parser>
-  asio::awaitable<beast::error_code>
-  readOne(Stream &In, beast::flat_buffer &Buffer, Parser &Into) {
+  asio::awaitable<beast::error_code> readOne(Stream &In,
+                                             beast::flat_buffer &Buffer,
+                                             Parser &Into, bool First) {
     beast::error_code Code;
     auto Token = asio::redirect_error(asio::use_awaitable, Code);
     beast::get_lowest_layer(In).expires_after(limits().m_IdleTimeout);
     if (Buffer.size() == 0) {
-      const IdleMark Mark(*this, In);
+      std::optional<IdleMark> Mark;
+      if (!First)
+        Mark.emplace(*this, In);
       const std::size_t Got =
           co_await In.async_read_some(Buffer.prepare(4096), Token);
       Buffer.commit(Got);
--- a/packages/net/server.h
+++ b/packages/net/server.h
@@ -108,7 +108,8 @@
   /// Ends each open connection after its next answer; goes on accepting.
   void closeAfterAnswers();
 
-  /// Closes the connections that carry no request now.
+  /// Closes the kept connections that carry no request now; new ones may bring
+  /// their first one.
   void closeIdle();
 
   /// Takes the certificate and key anew from their files; open connections keep
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -5,6 +5,8 @@
 #include "platform/forward_router.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -325,6 +327,68 @@
   CHECK(Platform.runs("after") == 0);
 }
 
+TEST_CASE("a planned stop under load: connections that are opened but not yet "
+          "accepted when the router closes its door get their answers") {
+  namespace asio = boost::asio;
+  Estate Platform;
+  fill(Platform);
+  Router At(Platform);
+  waitServing(At);
+  const net::Address Callers = net::parseAddress(At.callers());
+  const asio::ip::tcp::endpoint Door(asio::ip::make_address(Callers.m_Ip),
+                                     Callers.m_Port);
+  At.process().signal(SIGTERM);
+  std::this_thread::sleep_for(1900ms);
+  // The router stands still while they come, across the moment of its close.
+  At.process().signal(SIGSTOP);
+  asio::io_context Io;
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> Open;
+  for (int I = 0; I < 40; ++I) {
+    Open.push_back(std::make_unique<asio::ip::tcp::socket>(Io));
+    Open.back()->connect(Door);
+    std::string Request = "GET /look/a HTTP/1.1\r\nHost: ";
+    Request += harness::ownIp() + "\r\n";
+    for (const net::HttpHeader &Each : headers("a" + std::to_string(I)))
+      Request += Each.m_Name + ": " + Each.m_Value + "\r\n";
+    asio::write(*Open.back(), asio::buffer(Request + "\r\n"));
+  }
+  std::this_thread::sleep_for(600ms);
+  At.process().signal(SIGCONT);
+  int Answered = 0;
+  for (const auto &Each : Open) {
+    std::string Answer(15, '\0');
+    boost::system::error_code Code;
+    asio::read(*Each, asio::buffer(Answer), Code);
+    Answered += !Code && Answer.starts_with("HTTP/1.1 200 OK");
+  }
+  CHECK(Answered == 40);
+  CHECK(At.process().wait() == 0);
+}
+
+TEST_CASE("a planned stop under load: streams that it would cut are refused as "
+          "not run, with when to come back") {
+  Estate Platform;
+  fill(Platform);
+  Platform.setEventPause(10ms);
+  Router At(Platform);
+  waitServing(At);
+  {
+    harness::EventStream Short(At.callers(), "/guide/x", headers("s0"), "x");
+    CHECK(readOrdered(Short) == 40); // 10 ms a token
+  }
+  At.process().signal(SIGTERM);
+  std::this_thread::sleep_for(500ms);
+  const auto Long = harness::http("POST", At.callers(), "/guide/seat",
+                                  headers("s1", "key", 2000), "x");
+  CHECK(Long.m_Status == 503);
+  CHECK_FALSE(net::findHeader(Long.m_Headers, "Retry-After").empty());
+  CHECK(Platform.runs("s1") == 0);
+  harness::EventStream Short(At.callers(), "/guide/x", headers("s2"), "x");
+  CHECK(Short.status() == 200);
+  CHECK(readOrdered(Short) == 40);
+  CHECK(Short.whole());
+}
+
 TEST_CASE("a leaving endpoint gets nothing more, and its layers move") {
   Estate Platform;
   fill(Platform);
