Settings of a forwarding router take fractions

Change: slack, window, silence and memory are fractions. Unit test failed with the old schema as the processes did (retries.slack: allowed: a whole number).

--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -32,8 +32,8 @@
 decide::WindowedRetryBudget &ForwardState::budgetOf(const ServiceId &Service) {
   const auto &Retries = m_Settings.retries();
   const decide::WindowedRetryBudget::Bounds Bounds{
-      Retries.fraction(), static_cast<double>(Retries.slack()),
-      std::chrono::seconds(Retries.window_seconds())};
+      Retries.fraction(), Retries.slack(),
+      fromSeconds(Retries.window_seconds())};
   return m_Budgets.try_emplace(Service, Bounds, m_Begun).first->second;
 }
 
--- a/tests/unit/schema_test.cpp
+++ b/tests/unit/schema_test.cpp
@@ -159,3 +159,22 @@
   for (const char *Wrong : {"", ":", "5", "5:", ":5", "g:1", "1:2:3", "-1:2"})
     CHECK_THROWS(router::parseEventId(Wrong));
 }
+
+TEST_CASE("a router's settings take fractions where the platform may give them") {
+  schema::ForwardSettings Into;
+  const auto Faults = schema::parseToml("f",
+                                        "name = \"a\"\ndata_centre = \"b\"\n"
+                                        "callers = \"192.0.2.1:1\"\n"
+                                        "readiness = \"192.0.2.1:2\"\n"
+                                        "metrics = \"192.0.2.1:3\"\n"
+                                        "peers = \"192.0.2.1:4\"\n"
+                                        "stop_within_seconds = 7.5\n"
+                                        "engine_silence_ms = 1999.5\n"
+                                        "memory_mb = 170.7\n"
+                                        "[store]\naddress = \"192.0.2.2:1\"\n"
+                                        "[retries]\nfraction = 0.2\n"
+                                        "slack = 57.4\nwindow_seconds = 9.5\n",
+                                        Into);
+  CHECK(schema::describeFaults(Faults).empty());
+  CHECK(Into.retries().slack() == 57.4);
+}
