Routers compare what they know with another one now and then

Cause: a feed that stays open and tells nothing is noticed only when its wait of 20 s and a second of slack are over. On the platform a connection on which an answer was lost, and a cut one way, may do the same.

Ruled out: a shorter wait (195 routers, three tables: calls to the store in proportion).

Change: every 700 ms a router asks another one, drawn by chance, for changes of both tables that it does not know. Only rows are taken, through the same cache that never goes back; that nothing is known elsewhere confirms nothing.

Process test with a store that holds back every change: after 4 s the old program still takes the old key and the leaving endpoints, now both changes are there.

--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -37,6 +37,10 @@
 constexpr Duration RegistryPausePerRouter = std::chrono::milliseconds(15);
 constexpr Duration LongestRegistryPause = std::chrono::milliseconds(1000);
 
+// Pause between comparisons with another router: a third of the shortest time in
+// which a change must be in force, so that two routers are asked in it.
+constexpr Duration ComparePause = std::chrono::milliseconds(700);
+
 } // namespace
 
 Duration registryPause(std::size_t Routers) {
@@ -44,6 +48,8 @@
                     ShortestRegistryPause, LongestRegistryPause);
 }
 
+Duration comparePause() { return ComparePause; }
+
 bool RowCache::take(const std::vector<CachedRow> &Rows, std::uint64_t Version,
                     bool Whole, std::optional<Instant> Store) {
   if (Version < m_Version)
--- a/packages/decide/row_cache.h
+++ b/packages/decide/row_cache.h
@@ -63,6 +63,10 @@
 /// routers read it, the longer. Safe from any thread.
 Duration registryPause(std::size_t Routers);
 
+/// The pause between two questions to another router whether it knows of
+/// changes that this one does not. Safe from any thread.
+Duration comparePause();
+
 /// Where a router reads a table.
 enum class RowSource { Store, Peer };
 
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -107,6 +107,8 @@
     keepRunning(m_Io, "configuration", [this] { return m_Watch.followConfig(); });
     keepRunning(m_Io, "registry", [this] { return m_Watch.followRegistry(); });
     keepRunning(m_Io, "routers", [this] { return m_Watch.followRouters(); });
+    keepRunning(m_Io, "comparison",
+                [this] { return m_Watch.compareWithOthers(); });
     keepRunning(m_Io, "engines", [this] { return m_Engines.run(); });
     keepRunning(m_Io, "loads", [this] { return m_Loads.run(); });
     keepRunning(m_Io, "layers", [this] { return m_Layers.run(); });
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -204,12 +204,10 @@
         Whole = true;
       } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole,
                                    Store)) {
-        if (Whole || !Got.m_Rows.empty()) {
-          Of.m_Take(Got, Whole,
-                    How.fromStore() ? decide::RowSource::Store
-                                    : decide::RowSource::Peer);
-          wakeWaiting(Of);
-        }
+        if (Whole || !Got.m_Rows.empty())
+          adopt(Of, Got, Whole,
+                How.fromStore() ? decide::RowSource::Store
+                                : decide::RowSource::Peer);
         Whole = false;
       }
     } catch (const Error &Wrong) {
@@ -221,6 +219,46 @@
   }
 }
 
+void StoreWatch::adopt(Table &Of, const platform::Rows &Got, bool Whole,
+                       decide::RowSource From) {
+  Of.m_Take(Got, Whole, From);
+  wakeWaiting(Of);
+}
+
+asio::awaitable<void> StoreWatch::compareWithOthers() {
+  while (true) {
+    co_await pause(m_Shared.m_Io, decide::comparePause());
+    for (Table *Each : {&m_Config, &m_Registry})
+      if (Each->m_Cache.known())
+        co_await compare(*Each);
+  }
+}
+
+// What another router does not know of says nothing: only rows are taken.
+asio::awaitable<void> StoreWatch::compare(Table &Of) {
+  const auto Other = anyPeer();
+  if (!Other)
+    co_return;
+  decide::RowCall How;
+  How.m_Router = *Other;
+  try {
+    const platform::Rows Got = co_await readOnce(Of, How, false);
+    if (Got.m_HistoryGone || Got.m_Rows.empty() ||
+        !Of.m_Cache.take(Got.m_Rows, Got.m_Version, false))
+      co_return;
+    m_Shared.m_Metrics.counted("rows_by_comparison");
+    router::logEvent(schema::INFO, "rows_by_comparison",
+                     {{"table", Of.m_Name},
+                      {"router", *Other},
+                      {"rows", std::to_string(Got.m_Rows.size())},
+                      {"version", std::to_string(Got.m_Version)}});
+    adopt(Of, Got, false, decide::RowSource::Peer);
+  } catch (const Error &) {
+    // The next one is asked in a moment; its own feeds tell when it fails.
+    m_Shared.m_Metrics.counted("comparison_failed");
+  }
+}
+
 // A reader that failed is passed over at once: what it did not tell may be due.
 Duration StoreWatch::pauseAfter(Table &Of, const decide::RowCall &How,
                                 bool Failed) {
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -37,6 +37,12 @@
   /// ends: they share budgets.
   boost::asio::awaitable<void> followRouters();
 
+  /// Asks another router now and then whether it knows of changes that this one
+  /// does not, until the router ends: a feed that is silent, of the store or of
+  /// the router that reads for this one, is not noticed for as long as it may
+  /// wait.
+  boost::asio::awaitable<void> compareWithOthers();
+
   /// Answers another router's question for rows.
   boost::asio::awaitable<net::HttpResponse> answer(platform::RowsQuery Query);
 
@@ -58,6 +64,9 @@
   };
 
   boost::asio::awaitable<void> follow(Table &Of);
+  boost::asio::awaitable<void> compare(Table &Of);
+  void adopt(Table &Of, const platform::Rows &Got, bool Whole,
+             decide::RowSource From);
   decide::RowCall nextCall(const Table &Of);
   boost::asio::awaitable<platform::Rows>
   readOnce(Table &Of, decide::RowCall How, bool Whole);
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -311,7 +311,7 @@
     co_return;
   }
   net::HttpResponse Answer{503, {}, ""};
-  if (At.m_Mode == StoreMode::Serves) {
+  if (At.m_Mode == StoreMode::Serves || At.m_Mode == StoreMode::Deaf) {
     if (Request.m_Target.starts_with("/v1/rows-feed")) {
       co_await feed(At, Exchange);
       co_return;
@@ -353,9 +353,11 @@
           Rows.push_back(rowJson(Table, Key, Each));
       Version = m_Version;
     }
-    if (!Rows.empty() || std::chrono::steady_clock::now() > End ||
-        At.m_Mode != StoreMode::Serves)
+    const bool Deaf = At.m_Mode == StoreMode::Deaf;
+    if ((!Rows.empty() && !Deaf) || std::chrono::steady_clock::now() > End ||
+        (At.m_Mode != StoreMode::Serves && !Deaf))
       break;
+    Rows.clear();
     co_await pause(5ms);
   }
   net::HttpResponse Answer =
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -20,7 +20,12 @@
 namespace mimosadale::tests {
 
 /// How the store treats calls.
-enum class StoreMode { Serves, Refuses, Silent };
+enum class StoreMode {
+  Serves,
+  Refuses,
+  Silent,
+  Deaf // answers, but its feeds hold back every change
+};
 
 /// Serves the published calls of the platform on loopback addresses, in one
 /// thread of the test, and checks what must always hold of the requests that it
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -297,6 +297,34 @@
   }));
 }
 
+TEST_CASE("a router's feeds fall silent and stay open: what other routers know "
+          "reaches it within seconds") {
+  Estate Platform;
+  fill(Platform);
+  Router Near(Platform, "near");
+  Router Deaf(Platform, "deaf", PlentyRetries, 1);
+  waitServing(Near);
+  waitServing(Deaf);
+  std::this_thread::sleep_for(1500ms); // both know of each other
+  Platform.setStore(tests::StoreMode::Deaf, 1);
+  Platform.setKeys({"fresh"});
+  Platform.configure(9);
+  Platform.addService("b3", "booking");
+  Platform.drain("b1");
+  Platform.drain("b2");
+  const auto Status = [&](const std::string &Key) {
+    return harness::http("GET", Deaf.callers(), "/look/a", headers("k", Key))
+        .m_Status;
+  };
+  CHECK(harness::eventually([&] { return Status("key") == 401; }, 4s));
+  CHECK(harness::eventually(
+      [&] {
+        return Status("fresh") == 200 &&
+               Platform.pathOf("k") == std::vector<std::string>{"b3"};
+      },
+      4s));
+}
+
 TEST_CASE("a kept connection is not used for new requests after SIGTERM") {
   Estate Platform;
   fill(Platform);
