--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -54,6 +54,7 @@
     : m_Shared(Shared), m_OnConfig(std::move(OnConfig)) {
   m_Config.m_Name = platform::OperatorTable;
   m_Config.m_FromRouters = true;
+  m_Config.m_HasReaders = true;
   m_Config.m_Pause = [] { return ConfigPause; };
   m_Config.m_Take = [this](const platform::Rows &Changes, bool,
                            decide::RowSource From) {
