A stopped forwarding router leaves at once

A trial that marks the ends of scopes showed it hanging in the log library's deinitialisation, which joins four idle threads. Ruled out: requests left over (they end before), the destructors of the node (passed).

Change: the process ends without that join; the leak check of the sanitizer is called first.

--- a/packages/decide/answer_rule.h
+++ b/packages/decide/answer_rule.h
@@ -35,10 +35,10 @@
   Unknown // it may be either, so that it tells nothing of this request
 };
 
-/// Endpoints repeat a request's id in its answer, and leave it out for questions
-/// that had none. \param Echoed the id in the answer; empty for none. \param
-/// Asked the id of the request; empty for a question without one. \param Kept
-/// whether the connection carried an exchange before.
+/// Endpoints repeat a request's id in its answer, and leave it out for
+/// questions that had none. \param Echoed the id in the answer; empty for none.
+/// \param Asked the id of the request; empty for a question without one. \param
+/// Kept whether the connection carried an exchange before.
 AnswerOwner answerOwner(const std::string &Echoed, const std::string &Asked,
                         bool Kept);
 
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -124,8 +124,8 @@
   void onAskEnded(const EndpointId &Id);
 
   /// \p Id said in an answer that it leaves. Holds whatever the registry says
-  /// until a later start, through a loss of its entry too. \returns whether that
-  /// is news.
+  /// until a later start, through a loss of its entry too. \returns whether
+  /// that is news.
   bool onSaidLeaving(const EndpointId &Id, Instant Now);
 
   /// \p Id asked for nothing from this host until \p Until. A shorter pause
--- a/packages/decide/load_digest.cpp
+++ b/packages/decide/load_digest.cpp
@@ -41,9 +41,8 @@
   return To;
 }
 
-std::vector<EndpointId> takeDigest(Fleet &Engines,
-                                   const schema::LoadDigest &From,
-                                   Instant Asked) {
+std::vector<EndpointId>
+takeDigest(Fleet &Engines, const schema::LoadDigest &From, Instant Asked) {
   std::vector<EndpointId> Back;
   for (const schema::EngineLoad &Each : From.engines()) {
     const EndpointId Id(Each.engine());
--- a/packages/decide/load_digest.h
+++ b/packages/decide/load_digest.h
@@ -10,17 +10,16 @@
 
 namespace mimosadale::decide {
 
-/// The reports of \p Engines that are recent enough for others, with their ages.
-/// Safe from any thread, like all free functions of this header.
+/// The reports of \p Engines that are recent enough for others, with their
+/// ages. Safe from any thread, like all free functions of this header.
 schema::LoadDigest digestOf(const Fleet &Engines, Instant Now);
 
 /// Takes the reports of \p From that are newer than the ones known here.
-/// \param Asked when the question for it was sent, so that its way back makes no
-/// report look younger than it is. \returns distrusted engines that reported
+/// \param Asked when the question for it was sent, so that its way back makes
+/// no report look younger than it is. \returns distrusted engines that reported
 /// since, by a report that cannot be one of before.
-std::vector<EndpointId> takeDigest(Fleet &Engines,
-                                   const schema::LoadDigest &From,
-                                   Instant Asked);
+std::vector<EndpointId>
+takeDigest(Fleet &Engines, const schema::LoadDigest &From, Instant Asked);
 
 /// Whether this router has the loads from another one, or asks for itself.
 ///
--- a/packages/decide/plain_router.h
+++ b/packages/decide/plain_router.h
@@ -8,9 +8,9 @@
 namespace mimosadale::decide {
 
 /// The endpoint of \p Service with the fewest requests of this router that does
-/// not leave, asked for no pause and is not among \p Avoid; one of data centre \p Here where two
-/// are alike, a distrusted one only if there is no other. Null if there is
-/// none. Safe from any thread.
+/// not leave, asked for no pause and is not among \p Avoid; one of data centre
+/// \p Here where two are alike, a distrusted one only if there is no other.
+/// Null if there is none. Safe from any thread.
 const FleetEndpoint *choosePlain(const Fleet &Endpoints,
                                  const ServiceId &Service,
                                  const DataCentreId &Here,
--- a/packages/decide/reader_chooser.h
+++ b/packages/decide/reader_chooser.h
@@ -35,8 +35,8 @@
 class ReaderChooser {
 public:
   /// Takes the routers that there are. \param Here those of this data centre,
-  /// with their parts of a processor: reading for dozens is left to the largest.
-  /// \param All how many there are in all.
+  /// with their parts of a processor: reading for dozens is left to the
+  /// largest. \param All how many there are in all.
   void onRouters(const std::string &Self,
                  const std::map<std::string, double> &Here, std::size_t All);
 
--- a/packages/decide/report_schedule.cpp
+++ b/packages/decide/report_schedule.cpp
@@ -26,8 +26,8 @@
 constexpr Duration ToldSuspectInterval = std::chrono::seconds(6);
 
 // Interval between reports that a router takes for the others, of engines that
-// are not asked for another reason: one lost engine is found by the streams that
-// wait for it, long before.
+// are not asked for another reason: one lost engine is found by the streams
+// that wait for it, long before.
 constexpr Duration ForOthersInterval = std::chrono::seconds(2);
 
 // The part taken from which on an engine fills up.
@@ -66,12 +66,10 @@
 
 bool ReportSchedule::due(const EndpointId &Engine, ReportReason Why,
                          const Askers &Of, Instant Now) {
-  if (Of.m_Told &&
-      (Why == ReportReason::Load || Why == ReportReason::Filling))
+  if (Of.m_Told && (Why == ReportReason::Load || Why == ReportReason::Filling))
     return false;
   const auto Found = m_AskedAt.find(Engine);
-  if (Found != m_AskedAt.end() &&
-      Now - Found->second < intervalOf(Why, Of))
+  if (Found != m_AskedAt.end() && Now - Found->second < intervalOf(Why, Of))
     return false;
   std::erase_if(m_AskedAt, [&](const auto &Each) {
     return Now - Each.second > ForgetAfter;
--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -37,8 +37,8 @@
 constexpr Duration RegistryPausePerRouter = std::chrono::milliseconds(15);
 constexpr Duration LongestRegistryPause = std::chrono::milliseconds(1000);
 
-// Pause between comparisons with another router: a third of the shortest time in
-// which a change must be in force, so that two routers are asked in it.
+// Pause between comparisons with another router: a third of the shortest time
+// in which a change must be in force, so that two routers are asked in it.
 constexpr Duration ComparePause = std::chrono::milliseconds(700);
 
 } // namespace
--- a/packages/decide/stop_policy.cpp
+++ b/packages/decide/stop_policy.cpp
@@ -13,10 +13,10 @@
   if (Tokens <= 0)
     return;
   const double Latest = seconds(Took) / Tokens;
-  m_SecondsPerToken = m_SecondsPerToken
-                          ? *m_SecondsPerToken +
-                                LatestWeight * (Latest - *m_SecondsPerToken)
-                          : Latest;
+  m_SecondsPerToken =
+      m_SecondsPerToken
+          ? *m_SecondsPerToken + LatestWeight * (Latest - *m_SecondsPerToken)
+          : Latest;
 }
 
 std::optional<Duration> StreamPace::expected(double Tokens) const {
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -172,14 +172,13 @@
       reserve(*Found);
   }
   m_Shared.m_Metrics.counted(m_Reserved ? "place_found" : "place_not_found");
-  router::logEvent(
-      schema::INFO, "place_awaited",
-      {{"request", m_Facts.m_Id.str()},
-       {"outcome", m_Reserved     ? "found"
-                   : m_CallerGone ? "caller left"
-                                  : "time over"},
-       {"last_event", m_Events.lastId()},
-       {"ms", router::millisText(ForwardState::now() - Begun)}});
+  router::logEvent(schema::INFO, "place_awaited",
+                   {{"request", m_Facts.m_Id.str()},
+                    {"outcome", m_Reserved     ? "found"
+                                : m_CallerGone ? "caller left"
+                                               : "time over"},
+                    {"last_event", m_Events.lastId()},
+                    {"ms", router::millisText(ForwardState::now() - Begun)}});
   co_return m_Reserved.has_value();
 }
 
@@ -211,9 +210,8 @@
       {{"request", m_Facts.m_Id.str()},
        {"ms", router::millisText(Now - m_Arrived)},
        {"events", std::to_string(m_EventCount)},
-       {"since_event_ms", m_FirstEvent
-                              ? router::millisText(Now - m_LastEvent)
-                              : "none"}});
+       {"since_event_ms",
+        m_FirstEvent ? router::millisText(Now - m_LastEvent) : "none"}});
 }
 
 void ForwardCall::logOutcome(const std::string &Outcome, unsigned Status) {
--- a/packages/forward/forward_choice.cpp
+++ b/packages/forward/forward_choice.cpp
@@ -31,11 +31,10 @@
                                             Instant Now) {
   const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
   return Chains
-             ? Chains->choose(
-                   m_Shared.m_Fleet,
-                   m_Facts.m_Size.value_or(decide::RequestSize{}),
-                   DataCentreId(m_Shared.m_Settings.data_centre()), Avoid, Now,
-                   m_Shared.m_Random)
+             ? Chains->choose(m_Shared.m_Fleet,
+                              m_Facts.m_Size.value_or(decide::RequestSize{}),
+                              DataCentreId(m_Shared.m_Settings.data_centre()),
+                              Avoid, Now, m_Shared.m_Random)
              : nullptr;
 }
 
@@ -116,11 +115,10 @@
 }
 
 std::optional<ForwardCall::Target> ForwardCall::choosePlain() {
-  const decide::FleetEndpoint *Chosen =
-      decide::choosePlain(m_Shared.m_Fleet, m_Service,
-                          DataCentreId(m_Shared.m_Settings.data_centre()),
-                          m_Run->avoided(), ForwardState::now(),
-                          m_Shared.m_Random);
+  const decide::FleetEndpoint *Chosen = decide::choosePlain(
+      m_Shared.m_Fleet, m_Service,
+      DataCentreId(m_Shared.m_Settings.data_centre()), m_Run->avoided(),
+      ForwardState::now(), m_Shared.m_Random);
   if (!Chosen)
     return std::nullopt;
   Target To;
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -104,7 +104,8 @@
     m_Readiness->start();
     m_MetricsPage->start();
     m_Peers->start();
-    keepRunning(m_Io, "configuration", [this] { return m_Watch.followConfig(); });
+    keepRunning(m_Io, "configuration",
+                [this] { return m_Watch.followConfig(); });
     keepRunning(m_Io, "registry", [this] { return m_Watch.followRegistry(); });
     keepRunning(m_Io, "routers", [this] { return m_Watch.followRouters(); });
     keepRunning(m_Io, "comparison",
--- a/packages/forward/load_exchange.cpp
+++ b/packages/forward/load_exchange.cpp
@@ -76,8 +76,7 @@
     return Answer;
   }
   Answer.m_Headers.push_back({"Content-Type", "application/octet-stream"});
-  Answer.m_Body =
-      decide::digestOf(m_Shared.m_Fleet, Now).SerializeAsString();
+  Answer.m_Body = decide::digestOf(m_Shared.m_Fleet, Now).SerializeAsString();
   return Answer;
 }
 
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -120,16 +120,18 @@
     if (Each.m_Dropped)
       continue;
     try {
-      m_Shared.m_RouterPlaces[Each.m_Key] = platform::decodeRouter(Each.m_Value);
+      m_Shared.m_RouterPlaces[Each.m_Key] =
+          platform::decodeRouter(Each.m_Value);
     } catch (const Error &Wrong) {
       router::logEvent(schema::WARN, "router_row_unreadable",
                        {{"router", Each.m_Key}, {"detail", Wrong.what()}});
     }
   }
   const std::string &Self = m_Shared.m_Settings.name();
-  m_Shared.m_RouterPlaces[Self] = {m_Shared.m_Settings.peers(),
-                     DataCentreId(m_Shared.m_Settings.data_centre()),
-                     m_Shared.m_Settings.cores()};
+  m_Shared.m_RouterPlaces[Self] = {
+      m_Shared.m_Settings.peers(),
+      DataCentreId(m_Shared.m_Settings.data_centre()),
+      m_Shared.m_Settings.cores()};
   std::vector<std::string> All;
   std::map<std::string, double> Here;
   for (const auto &[Name, Place] : m_Shared.m_RouterPlaces) {
@@ -163,7 +165,8 @@
   Own.m_Pause = Of.m_Pause();
   if (Own.m_Source == decide::RowSource::Peer)
     Own.m_Router = anyPeer();
-  return Of.m_HasReaders ? m_Shared.m_Readers.planCall(Own, ForwardState::now()) : Own;
+  return Of.m_HasReaders ? m_Shared.m_Readers.planCall(Own, ForwardState::now())
+                         : Own;
 }
 
 asio::awaitable<platform::Rows>
@@ -176,8 +179,8 @@
     co_return co_await m_Shared.m_Store.feed(Of.m_Name, After, How.m_Wait,
                                              StoreSlack);
   }
-  const auto Place =
-      How.m_Router ? m_Shared.m_RouterPlaces.find(*How.m_Router) : m_Shared.m_RouterPlaces.end();
+  const auto Place = How.m_Router ? m_Shared.m_RouterPlaces.find(*How.m_Router)
+                                  : m_Shared.m_RouterPlaces.end();
   if (Place == m_Shared.m_RouterPlaces.end())
     throw platform::StoreCallError("no other router is known");
   m_Shared.m_Metrics.counted("router_asked");
@@ -205,8 +208,7 @@
                          {{"table", Of.m_Name},
                           {"after", std::to_string(Of.m_Cache.version())}});
         Whole = true;
-      } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole,
-                                   Store)) {
+      } else if (Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole, Store)) {
         if (Whole || !Got.m_Rows.empty())
           adopt(Of, Got, Whole,
                 How.fromStore() ? decide::RowSource::Store
@@ -266,7 +268,8 @@
 Duration StoreWatch::pauseAfter(Table &Of, const decide::RowCall &How,
                                 bool Failed) {
   if (!How.fromReader()) {
-    const bool HasPeers = Of.m_FromRouters && m_Shared.m_RouterPlaces.size() > 1;
+    const bool HasPeers =
+        Of.m_FromRouters && m_Shared.m_RouterPlaces.size() > 1;
     return Of.m_Source.onCall(Failed, HasPeers, How.m_Pause);
   }
   if (!Failed)
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -423,9 +423,8 @@
   // of the request as long as one request may take. A new connection is not
   // listed as idle: its first request is on its way.
   template <typename Stream, typename Parser>
-  asio::awaitable<beast::error_code> readOne(Stream &In,
-                                             beast::flat_buffer &Buffer,
-                                             Parser &Into, bool First) {
+  asio::awaitable<beast::error_code>
+  readOne(Stream &In, beast::flat_buffer &Buffer, Parser &Into, bool First) {
     beast::error_code Code;
     auto Token = asio::redirect_error(asio::use_awaitable, Code);
     beast::get_lowest_layer(In).expires_after(limits().m_IdleTimeout);
--- a/packages/router/main.cpp
+++ b/packages/router/main.cpp
@@ -6,9 +6,13 @@
 #include "router/settings.h"
 
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 #include <log4cplus/initializer.h>
 #include <optional>
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/lsan_interface.h>
+#endif
 
 namespace options = boost::program_options;
 using namespace mimosadale;
@@ -42,13 +46,28 @@
   return Loaded.m_Settings;
 }
 
-int runForwardNode(const std::string &File) {
+// Ends the process without joining the idle threads that the log library keeps:
+// where a host schedules only one thread, their end may come after the time to
+// stop, and the process is killed.
+[[noreturn]] void leave(int Code) {
+  std::cout.flush();
+#ifdef __SANITIZE_ADDRESS__
+  __lsan_do_leak_check();
+#endif
+  std::quick_exit(Code);
+}
+
+[[noreturn]] void runForwardNode(const std::string &File) {
   const log4cplus::Initializer Logging;
   const schema::ForwardSettings Settings = loadForwardOrThrow(File);
   router::setUpLog(Settings.log(), Settings.name());
-  forward::ForwardNode Node(Settings,
-                            [File] { return loadForwardOrThrow(File); });
-  return Node.run();
+  int Code = ExitFine;
+  {
+    forward::ForwardNode Node(Settings,
+                              [File] { return loadForwardOrThrow(File); });
+    Code = Node.run();
+  }
+  leave(Code);
 }
 
 // Shows the settings of \p Loaded or their faults; none when the node is to
@@ -87,7 +106,9 @@
   if (Given.contains("forward")) {
     const auto Answer =
         answerQuestions(router::loadForwardSettings(File), Given);
-    return Answer ? *Answer : runForwardNode(File);
+    if (Answer)
+      return *Answer;
+    runForwardNode(File);
   }
   if (const auto Answer = answerQuestions(router::loadSettings(File), Given))
     return *Answer;
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -516,8 +516,9 @@
   CHECK(Platform.arrivals("b1") == Reached);
 }
 
-TEST_CASE("an endpoint that refuses and asks for a pause gets no request and no "
-          "question until it is over") {
+TEST_CASE(
+    "an endpoint that refuses and asks for a pause gets no request and no "
+    "question until it is over") {
   Estate Platform;
   fill(Platform);
   Router At(Platform);
@@ -564,8 +565,8 @@
     Platform.repeatAnswers(Each, 15ms);
   for (int I = 0; I < 60; ++I) {
     const std::string Id = "l" + std::to_string(I);
-    const auto Look = harness::http("GET", At.callers(), "/look/" + Id,
-                                    headers(Id));
+    const auto Look =
+        harness::http("GET", At.callers(), "/look/" + Id, headers(Id));
     CHECK(Look.m_Status == 200);
     CHECK(Look.m_Body == "counter /look/" + Id + " ");
     // Reports are asked of the same engines all the while.
@@ -606,8 +607,9 @@
   CHECK(Platform.runs("s1") == 1);
 }
 
-TEST_CASE("the engines of all chains refuse for a while: a stream that has begun "
-          "waits and goes on") {
+TEST_CASE(
+    "the engines of all chains refuse for a while: a stream that has begun "
+    "waits and goes on") {
   Estate Platform;
   fill(Platform);
   Platform.setEventPause(20ms);
--- a/tests/unit/forward_choice_test.cpp
+++ b/tests/unit/forward_choice_test.cpp
@@ -56,8 +56,9 @@
   CHECK(chosen(Made).empty());
 }
 
-TEST_CASE("a plain service: an endpoint that asked for a pause gets nothing until "
-          "it is over") {
+TEST_CASE(
+    "a plain service: an endpoint that asked for a pause gets nothing until "
+    "it is over") {
   Fleet Made = endpoints();
   Made.onPaused(EndpointId("near"), T0 + 2s);
   CHECK(chosen(Made) == "far");
@@ -229,5 +230,6 @@
   ReportSchedule Schedule;
   CHECK(Schedule.due(Engine, ReportReason::Load, {6}, T0));
   CHECK_FALSE(Schedule.due(Engine, ReportReason::WaitedFor, {6}, T0 + 100ms));
-  CHECK(Schedule.due(EndpointId("b"), ReportReason::WaitedFor, {6}, T0 + 100ms));
+  CHECK(
+      Schedule.due(EndpointId("b"), ReportReason::WaitedFor, {6}, T0 + 100ms));
 }
--- a/tests/unit/forward_run_test.cpp
+++ b/tests/unit/forward_run_test.cpp
@@ -79,7 +79,8 @@
         if (Next.sends() < ExploredSends)
           explore(Next, After, Of, Budget, States);
       } else {
-        // What is partly out is cut off, or goes on later if it may be repeated.
+        // What is partly out is cut off, or goes on later if it may be
+        // repeated.
         if (Next.headDelivered())
           CHECK((std::holds_alternative<CutOff>(Step) ||
                  (std::holds_alternative<AwaitPlace>(Step) && Of.mayRepeat())));
@@ -154,8 +155,9 @@
       Run.onFault(SendFault::Stalled, {EndpointId("c")}, T0, Budget)));
 }
 
-TEST_CASE("engines that leave take their streams to chains that refuse for a "
-          "while: a stream that is partly out waits, up to its end or its sends") {
+TEST_CASE(
+    "engines that leave take their streams to chains that refuse for a "
+    "while: a stream that is partly out waits, up to its end or its sends") {
   ForwardStart Start;
   Start.m_Kind = CallKind::Stream;
   Start.m_Resumable = true;
--- a/tests/unit/load_digest_test.cpp
+++ b/tests/unit/load_digest_test.cpp
@@ -72,7 +72,8 @@
   CHECK(Back == std::vector<EndpointId>{A});
 }
 
-TEST_CASE("a router counts as told for three missed digests, then asks itself") {
+TEST_CASE(
+    "a router counts as told for three missed digests, then asks itself") {
   LoadSource Source;
   CHECK_FALSE(Source.told(T0));
   Source.onDigest(T0);
@@ -82,8 +83,9 @@
 
 // A calm minute of 195 routers in five data centres before 216 engines: each
 // chain's first and fullest engine are asked by every router that is not told.
-TEST_CASE("a fleet of hundreds: questions for loads grow with data centres, not "
-          "with routers") {
+TEST_CASE(
+    "a fleet of hundreds: questions for loads grow with data centres, not "
+    "with routers") {
   const auto Asked = [](Askers Of, ReportReason Why) {
     ReportSchedule Schedule;
     unsigned Count = 0;
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -167,8 +167,8 @@
   CHECK(Decoded(503, "Retry-After", "2").m_Pause == 2s);
   CHECK(Decoded(503, "Retry-After", "0.25").m_Pause == 250ms);
   CHECK(Decoded(503, "Retry-After", "1e300").m_Pause == 1h);
-  for (const char *Odd : {"", "-1", "0", "nan", "inf-", "soon",
-                          "Fri, 04 Dec 2026 09:00:00 GMT"})
+  for (const char *Odd :
+       {"", "-1", "0", "nan", "inf-", "soon", "Fri, 04 Dec 2026 09:00:00 GMT"})
     CHECK_FALSE(Decoded(503, "Retry-After", Odd).m_Pause);
   CHECK_FALSE(Decoded(200, "Retry-After", "2").m_Pause);
 }
@@ -177,11 +177,13 @@
   const auto Entry = [](const std::string &More) {
     return platform::decodeEntry(
         "e", R"({"Service":"s","Address":"192.0.2.1:1","Zone":"z",
-                 "State":"ready",)" + More + "}");
+                 "State":"ready",)" +
+                 More + "}");
   };
   CHECK(Entry(R"("Layers":{"From":0,"Target":8})").m_Layers.m_End == 8);
   for (const char *Odd :
-       {R"("Layers":{"From":-1,"Target":8})", R"("Layers":{"From":9,"Target":8})",
+       {R"("Layers":{"From":-1,"Target":8})",
+        R"("Layers":{"From":9,"Target":8})",
         R"("Layers":{"From":0,"Target":1e300})", R"("Layers":[7])",
         R"("Slots":-3)", R"("born":-1e30)", R"("RouteType":7)"})
     CHECK_THROWS_AS(Entry(Odd), platform::DecodeError);
--- a/tests/unit/schema_test.cpp
+++ b/tests/unit/schema_test.cpp
@@ -160,7 +160,8 @@
     CHECK_THROWS(router::parseEventId(Wrong));
 }
 
-TEST_CASE("a router's settings take fractions where the platform may give them") {
+TEST_CASE(
+    "a router's settings take fractions where the platform may give them") {
   schema::ForwardSettings Into;
   const auto Faults = schema::parseToml("f",
                                         "name = \"a\"\ndata_centre = \"b\"\n"
