--- a/packages/decide/reader_chooser.cpp
+++ b/packages/decide/reader_chooser.cpp
@@ -38,6 +38,7 @@
   if (All < LeastRouters)
     return;
   std::vector<double> Cores;
+  Cores.reserve(Here.size());
   for (const auto &[Name, Each] : Here)
     Cores.push_back(Each);
   std::sort(Cores.rbegin(), Cores.rend());
