The test of silent feeds waits until the routers know each other

That the wait was too short is read from the test, not shown by a run; the precondition is now awaited by the router's own metric, check and bound are unchanged.

--- a/tests/platform/forward_router.h
+++ b/tests/platform/forward_router.h
@@ -29,6 +29,7 @@
   ~ForwardRouter();
 
   const std::string &callers() const { return m_Callers; }
+  const std::string &metrics() const { return m_Metrics; }
   harness::Process &process() { return *m_Process; }
   /// The status that the platform's balancer gets.
   unsigned readiness();
--- a/tests/process/forward_test.cpp
+++ b/tests/process/forward_test.cpp
@@ -45,6 +45,17 @@
   REQUIRE(harness::eventually([&] { return chainsServe(At); }));
 }
 
+// The routers that \p At knows of, itself included; 0 when it does not say.
+unsigned routersKnown(const Router &At) {
+  const std::string Page =
+      harness::http("GET", At.metrics(), "/metrics").m_Body;
+  const std::string Line = "mimosadale_state{name=\"routers\"} ";
+  const std::size_t Found = Page.find(Line);
+  return Found == std::string::npos ? 0
+                                    : static_cast<unsigned>(std::stoul(
+                                          Page.substr(Found + Line.size())));
+}
+
 using Streams = std::vector<std::unique_ptr<harness::EventStream>>;
 
 // Streams "s0", "s1" and so on, each with its first event read.
@@ -305,7 +316,7 @@
   Router Deaf(Platform, "deaf", PlentyRetries, 1);
   waitServing(Near);
   waitServing(Deaf);
-  std::this_thread::sleep_for(1500ms); // both know of each other
+  REQUIRE(harness::eventually([&] { return routersKnown(Deaf) == 2; }));
   Platform.setStore(tests::StoreMode::Deaf, 1);
   Platform.setKeys({"fresh"});
   Platform.configure(9);
