A router compares with one that read its table later: it takes the whole table

A router asks another one for changes after its own version. One that read its table anew after that version answers 410, since it does not know what was dropped between; the asker ignored that answer, without a count, each time anew. So two routers that start a few milliseconds apart, with one write of any table between their first reads, never tell the earlier one anything by comparison. Ruled out: the stand-in's clock (its feed's wait of 20 s had not passed), lost calls (28 questions, answers came), an adoption that failed (no log line).

Change: after a 410 the comparison reads the other router's whole table. It is taken only with a version not older than the own one, so it happens once for each such router at most.

The stand-in's deaf store no longer names a version whose rows it holds back.

--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -239,7 +239,9 @@
   }
 }
 
-// What another router does not know of says nothing: only rows are taken.
+// What another router does not know of says nothing: only rows are taken. One
+// that read its table after this one's last change does not know what changed
+// between: its whole table tells.
 asio::awaitable<void> StoreWatch::compare(Table &Of) {
   const auto Other = anyPeer();
   if (!Other)
@@ -247,17 +249,21 @@
   decide::RowCall How;
   How.m_Router = *Other;
   try {
-    const platform::Rows Got = co_await readOnce(Of, How, false);
+    platform::Rows Got = co_await readOnce(Of, How, false);
+    const bool Whole = Got.m_HistoryGone;
+    if (Whole)
+      Got = co_await readOnce(Of, How, true);
     if (Got.m_HistoryGone || Got.m_Rows.empty() ||
-        !Of.m_Cache.take(Got.m_Rows, Got.m_Version, false))
+        !Of.m_Cache.take(Got.m_Rows, Got.m_Version, Whole))
       co_return;
     m_Shared.m_Metrics.counted("rows_by_comparison");
     router::logEvent(schema::INFO, "rows_by_comparison",
                      {{"table", Of.m_Name},
                       {"router", *Other},
                       {"rows", std::to_string(Got.m_Rows.size())},
+                      {"whole", Whole ? "yes" : "no"},
                       {"version", std::to_string(Got.m_Version)}});
-    adopt(Of, Got, false, decide::RowSource::Peer);
+    adopt(Of, Got, Whole, decide::RowSource::Peer);
   } catch (const Error &) {
     // The next one is asked in a moment; its own feeds tell when it fails.
     m_Shared.m_Metrics.counted("comparison_failed");
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -336,6 +336,12 @@
                           {"NowMs", 1000}});
 }
 
+void Estate::setStore(StoreMode Mode, std::size_t Listener) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Listeners[Listener].m_DeafAt = m_Version;
+  m_Listeners[Listener].m_Mode = Mode;
+}
+
 Estate::Task Estate::feed(Listener &At, net::HttpExchange &Exchange) {
   const std::string Target = Exchange.request().m_Target;
   const std::string Table = parameter(Target, "Table");
@@ -354,6 +360,8 @@
       Version = m_Version;
     }
     const bool Deaf = At.m_Mode == StoreMode::Deaf;
+    if (Deaf)
+      Version = At.m_DeafAt;
     if ((!Rows.empty() && !Deaf) || std::chrono::steady_clock::now() > End ||
         (At.m_Mode != StoreMode::Serves && !Deaf))
       break;
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -24,7 +24,7 @@
   Serves,
   Refuses,
   Silent,
-  Deaf // answers, but its feeds hold back every change
+  Deaf // answers, but its feeds end with what was known when it turned deaf
 };
 
 /// Serves the published calls of the platform on loopback addresses, in one
@@ -86,9 +86,7 @@
   void repeatAnswers(const std::string &Id, std::chrono::milliseconds After);
   /// The next \p Count answers of the endpoint are lost after it ran.
   void loseAnswers(const std::string &Id, int Count);
-  void setStore(StoreMode Mode, std::size_t Listener = 0) {
-    m_Listeners[Listener].m_Mode = Mode;
-  }
+  void setStore(StoreMode Mode, std::size_t Listener = 0);
   void setEventPause(std::chrono::milliseconds Pause) { m_Pause = Pause; }
 
   /// Runs of a request, by its id, over all endpoints.
@@ -140,6 +138,7 @@
   using Task = boost::asio::awaitable<void>;
   struct Listener {
     std::atomic<StoreMode> m_Mode = StoreMode::Serves;
+    std::atomic<std::uint64_t> m_DeafAt = 0; // newest version before that
     std::unique_ptr<net::HttpServer> m_Server;
   };
 
