--- a/packages/forward/event_splitter.cpp
+++ b/packages/forward/event_splitter.cpp
@@ -8,6 +8,19 @@
 constexpr std::string_view EventEndCr = "\r\n\r\n";
 constexpr std::string_view IdField = "id:";
 
+// Past the blank lines at \p At, where an event ended or none began: they are
+// empty events, however the bytes came.
+std::size_t skipBlankLines(std::string_view In, std::size_t At) {
+  while (true) {
+    if (In.substr(At).starts_with('\n'))
+      At += 1;
+    else if (In.substr(At).starts_with("\r\n"))
+      At += 2;
+    else
+      return At;
+  }
+}
+
 } // namespace
 
 std::string EventSplitter::takeWhole() {
@@ -15,6 +28,7 @@
   End = End == std::string::npos ? 0 : End + EventEnd.size();
   if (const std::size_t Cr = m_Bytes.rfind(EventEndCr); Cr != std::string::npos)
     End = std::max(End, Cr + EventEndCr.size());
+  End = skipBlankLines(m_Bytes, End);
   if (End == 0)
     return "";
   std::string Whole = m_Bytes.substr(0, End);
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -169,6 +169,15 @@
                          : Own;
 }
 
+// A row that cannot be read is left as it was known before.
+void StoreWatch::noteUnreadable(const Table &Of, const platform::Rows &Got) {
+  for (const std::string &Each : Got.m_Unreadable) {
+    m_Shared.m_Metrics.counted("row_unreadable");
+    router::logEvent(schema::WARN, "row_unreadable",
+                     {{"table", Of.m_Name}, {"detail", Each}});
+  }
+}
+
 asio::awaitable<platform::Rows>
 StoreWatch::readOnce(Table &Of, decide::RowCall How, bool Whole) {
   const std::uint64_t After = Of.m_Cache.version();
@@ -198,6 +207,7 @@
     bool Failed = false;
     try {
       const platform::Rows Got = co_await readOnce(Of, How, Whole);
+      noteUnreadable(Of, Got);
       std::optional<Instant> Store;
       if (How.fromStore()) {
         noteStore(Of.m_Name, true, "");
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -68,6 +68,7 @@
   void adopt(Table &Of, const platform::Rows &Got, bool Whole,
              decide::RowSource From);
   decide::RowCall nextCall(const Table &Of);
+  void noteUnreadable(const Table &Of, const platform::Rows &Got);
   boost::asio::awaitable<platform::Rows>
   readOnce(Table &Of, decide::RowCall How, bool Whole);
   Duration pauseAfter(Table &Of, const decide::RowCall &How, bool Failed);
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/names.h"
 #include "platform/own_rows_codec.h"
 #include "platform/request_headers.h"
+#include "platform/rows_codec.h"
 
 #include <doctest/doctest.h>
 
@@ -214,16 +215,22 @@
   platform::Rows From;
   From.m_Version = 9;
   From.m_Rows = {{"a", "value", 7, false}, {"b", "", 9, true}};
-  const std::string Text = platform::encodeRows(From);
-  const auto Body = platform::parseObject(Text);
-  CHECK(platform::numberAt(Body, "Ver") == 9);
-  CHECK(platform::listAt(Body, "Rows").size() == 2);
+  const auto Read = platform::decodePage(platform::encodeRows(From));
+  CHECK_FALSE(Read.m_HasMore);
+  CHECK(Read.m_Rows.m_Version == 9);
+  REQUIRE(Read.m_Rows.m_Rows.size() == 2);
+  CHECK(Read.m_Rows.m_Rows[0].m_Value == "value");
+  CHECK(Read.m_Rows.m_Rows[1].m_Dropped);
   const auto Query =
       platform::decodeQuery("/v1/rows-feed?Table=op&After=12&WaitMs=800");
   REQUIRE(Query);
   CHECK(Query->m_Table == "op");
   CHECK(Query->m_After == 12);
   CHECK(Query->m_Wait == 800ms);
+  // A wait out of all bounds is one of the longest that there is.
+  CHECK(platform::decodeQuery(
+            "/v1/rows-feed?Table=op&After=1&WaitMs=99999999999999999999")
+            ->m_Wait == 30s);
   CHECK_FALSE(platform::decodeQuery("/v1/rows-get?Table=op")->m_After);
   CHECK_FALSE(platform::decodeQuery("/v1/rows-tx"));
   const auto Place = platform::decodeRouter(
@@ -233,3 +240,24 @@
   CHECK_THROWS_AS(platform::decodeRouter(R"({"peers":"?","data_centre":"x"})"),
                   platform::DecodeError);
 }
+
+TEST_CASE("rows that cannot be read are left out, the others hold") {
+  const auto Page = platform::decodePage(
+      R"({"Ver":9,"HasMore":true,"Rows":[
+            {"Key":"a","Ver":3,"Value":"YQ=="},
+            {"Key":"b","Ver":-1,"Value":"YQ=="},
+            {"Key":"c","Ver":1e300,"Value":"YQ=="},
+            {"Key":"d","Ver":4,"Value":"no base64"},
+            {"Ver":5,"Value":"YQ=="}, 7, null,
+            {"Key":"e/ %\u00fc","Ver":6,"Value":"YmI="}]})");
+  REQUIRE(Page.m_Rows.m_Rows.size() == 2);
+  CHECK(Page.m_Rows.m_Rows[0].m_Value == "a");
+  CHECK(Page.m_Rows.m_Rows[1].m_Version == 6);
+  CHECK(Page.m_Rows.m_Unreadable.size() == 6);
+  CHECK(Page.m_HasMore);
+  // The next page begins after the last key, whatever bytes it has.
+  CHECK(Page.m_Next == "e%2F%20%25%C3%BC%00");
+  for (const char *Each : {"", "[]", R"({"Rows":[]})", R"({"Ver":1e300})",
+                           R"({"Ver":-1})", R"({"Ver":1,"Rows":{}})"})
+    CHECK_THROWS_AS(platform::decodePage(Each), platform::DecodeError);
+}
