Orders that take long are not given up; engines that give layers up get no other

Cause: an order was taken for done when the registry showed its layers, and for failed 2.5 s after its usual load. Plans were made on that: 25 of 130 orders to hold layers were refused (409), all to engines that were still at an earlier one; layers being loaded were dealt to others.

Change: reports say whether an order is in progress; the router that orders asks the engines that it waits for once a second, and the digest passes it on. An order stays pending as long as its engine says that it is at it (30 s at most); an engine that gave layers up, or says that it is at an order, gets no other.

--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -32,7 +32,8 @@
   double m_KvTotal = 0; // tokens times layers
   unsigned m_Queued = 0;
   unsigned m_Running = 0;
-  double m_Slowdown = 1; // over 1: slower than its kind
+  double m_Slowdown = 1;  // over 1: slower than its kind
+  bool m_Ordered = false; // an order is in progress
 };
 
 /// One endpoint with what this router believes of it.
--- a/packages/decide/layer_orders.cpp
+++ b/packages/decide/layer_orders.cpp
@@ -15,19 +15,65 @@
 // effect is given up: the registry's heartbeat and several loads at once.
 constexpr Duration OrderSlack = std::chrono::milliseconds(2500);
 
+// Longest time for which an engine's word that it works on an order is taken:
+// the streams that pass through layers to be given up end within it.
+constexpr Duration LongestOrder = std::chrono::seconds(30);
+
+// Time by which an engine's report may lag behind its state (the platform
+// states some hundred milliseconds).
+constexpr Duration ReportLag = std::chrono::milliseconds(500);
+
+// Age up to which a report that an order is in progress holds: three of the
+// intervals at which engines that are ordered are asked.
+constexpr Duration OrderedAge = std::chrono::milliseconds(3000);
+
 // Time for which an order without an answer is taken as accepted.
 constexpr Duration UnansweredTime = std::chrono::milliseconds(1500);
 
 // Pause before an engine that refused an order gets another one.
 constexpr Duration RefusedPause = std::chrono::seconds(1);
 
+// Whether another order can be of no use now: one is in progress, by the
+// engine's own word.
+bool ordered(const FleetEndpoint &Of, Instant Now) {
+  return Of.m_Load && Of.m_Load->m_Ordered && Now - Of.m_LoadAt < OrderedAge;
+}
+
 } // namespace
 
+bool LayerOrders::Pending::inProgress(const FleetEndpoint &At) const {
+  return At.m_Load && At.m_Load->m_Ordered &&
+         At.m_LoadAt > m_SentAt + ReportLag;
+}
+
+bool LayerOrders::Pending::done(const FleetEndpoint &At) const {
+  return At.m_Load && !At.m_Load->m_Ordered &&
+         At.m_LoadAt > m_SentAt + ReportLag;
+}
+
 void LayerOrders::settle(const Fleet &Engines, Instant Now) {
+  // An engine that is still at it is not given up: its load shares the rate of
+  // the weight store, and what it gives up waits for the streams that pass.
+  for (auto *Orders : {&m_Pending, &m_Ending})
+    for (auto &[Id, Each] : *Orders)
+      if (const FleetEndpoint *Known = Engines.find(Id);
+          Known && Each.inProgress(*Known))
+        Each.m_Until =
+            std::max(Each.m_Until, std::min(Known->m_LoadAt + OrderSlack,
+                                            Each.m_SentAt + LongestOrder));
   std::erase_if(m_Pending, [&](const auto &Each) {
     const FleetEndpoint *Known = Engines.find(Each.first);
-    return !Known || Known->m_Record.m_Layers == Each.second.m_Layers ||
-           Now > Each.second.m_Until;
+    if (!Known || Now > Each.second.m_Until)
+      return true;
+    if (Known->m_Record.m_Layers != Each.second.m_Layers)
+      return false;
+    if (Each.second.m_GivesUp)
+      m_Ending[Each.first] = Each.second;
+    return true;
+  });
+  std::erase_if(m_Ending, [&](const auto &Each) {
+    const FleetEndpoint *Known = Engines.find(Each.first);
+    return !Known || Now > Each.second.m_Until || Each.second.done(*Known);
   });
   std::erase_if(m_RefusedAt, [&](const auto &Each) {
     return Now - Each.second > RefusedPause;
@@ -69,13 +115,16 @@
     Changing.insert(Engines.find(Id)->m_Record.m_DataCentre);
   // While a data centre changes, no engine gives up what another only is about
   // to hold.
-  std::erase_if(Orders, [&](const PlaceOrder &Each) {
+  const Instant At = Now;
+  std::erase_if(Orders, [&](PlaceOrder &Each) {
     const EndpointRecord &Now = Engines.find(Each.m_Engine)->m_Record;
-    const bool GivesUp = Now.m_Layers.m_First < Each.m_Layers.m_First ||
-                         Now.m_Layers.m_End > Each.m_Layers.m_End;
+    Each.m_GivesUp = Now.m_Layers.m_End > 0 &&
+                     (Now.m_Layers.m_First < Each.m_Layers.m_First ||
+                      Now.m_Layers.m_End > Each.m_Layers.m_End);
     return m_RefusedAt.contains(Each.m_Engine) ||
-           (GivesUp && Now.m_Layers.m_End > 0 &&
-            Changing.contains(Now.m_DataCentre));
+           m_Ending.contains(Each.m_Engine) ||
+           ordered(*Engines.find(Each.m_Engine), At) ||
+           (Each.m_GivesUp && Changing.contains(Now.m_DataCentre));
   });
   return Orders;
 }
@@ -85,7 +134,7 @@
   const double Share =
       static_cast<double>(Order.m_Layers.m_End - Order.m_Layers.m_First) /
       Model.m_Layers;
-  m_Pending[Order.m_Engine] = {Order.m_Layers,
+  m_Pending[Order.m_Engine] = {Order.m_Layers, Order.m_GivesUp, Now,
                                Now + OrderSlack +
                                    fromSeconds(Model.m_LoadSeconds * Share)};
 }
@@ -101,4 +150,15 @@
   m_RefusedAt[Engine] = Now;
 }
 
+std::vector<EndpointId> LayerOrders::awaited() const {
+  std::vector<EndpointId> All;
+  for (const auto &[Id, Each] : m_Pending)
+    All.push_back(Id);
+  for (const auto &[Id, Each] : m_Ending)
+    All.push_back(Id);
+  for (const auto &[Id, Each] : m_RefusedAt)
+    All.push_back(Id);
+  return All;
+}
+
 } // namespace mimosadale::decide
--- a/packages/decide/layer_orders.h
+++ b/packages/decide/layer_orders.h
@@ -32,13 +32,22 @@
   /// \p Engine refused an order: it is left alone for a while.
   void onRefused(const EndpointId &Engine, Instant Now);
 
-  /// Whether orders are under way.
+  /// Whether layers are still to be seen that were ordered.
   bool pending() const { return !m_Pending.empty(); }
 
+  /// The engines whose reports tell how far orders are. \pre None.
+  std::vector<EndpointId> awaited() const;
+
 private:
   struct Pending {
     LayerRange m_Layers;
+    bool m_GivesUp = false;
+    Instant m_SentAt{};
     Instant m_Until{}; // then it is given up
+
+    // The engine's own word, of after the order.
+    bool inProgress(const FleetEndpoint &At) const;
+    bool done(const FleetEndpoint &At) const;
   };
 
   void settle(const Fleet &Engines, Instant Now);
@@ -46,6 +55,9 @@
                        Instant Now);
 
   std::map<EndpointId, Pending> m_Pending;
+  // Engines that show their layers, and may still wait for the streams that
+  // pass through what they gave up.
+  std::map<EndpointId, Pending> m_Ending;
   std::map<EndpointId, Instant> m_RefusedAt;
   std::size_t m_Known = 0; // engines at the last call
   Instant m_KnownSince{};
--- a/packages/decide/layer_planner.h
+++ b/packages/decide/layer_planner.h
@@ -13,6 +13,7 @@
 struct PlaceOrder {
   EndpointId m_Engine;
   LayerRange m_Layers;
+  bool m_GivesUp = false; // some of what it holds
 };
 
 /// Layers of [0, \p Layers) for engines of these memories, in their order: the
--- a/packages/decide/load_digest.cpp
+++ b/packages/decide/load_digest.cpp
@@ -47,6 +47,7 @@
     Each.set_queued(Known.m_Load->m_Queued);
     Each.set_running(Known.m_Load->m_Running);
     Each.set_slowdown(static_cast<float>(Known.m_Load->m_Slowdown));
+    Each.set_ordered(Known.m_Load->m_Ordered);
     Each.set_age_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(Now -
                                                               Known.m_LoadAt)
@@ -70,7 +71,7 @@
     Engines.onReport(Id,
                      {static_cast<double>(Each.kv_used()),
                       static_cast<double>(Each.kv_total()), Each.queued(),
-                      Each.running(), Each.slowdown()},
+                      Each.running(), Each.slowdown(), Each.ordered()},
                      At);
   }
   return Taken;
--- a/packages/decide/report_schedule.cpp
+++ b/packages/decide/report_schedule.cpp
@@ -11,6 +11,7 @@
 constexpr Duration WaitedForInterval = std::chrono::milliseconds(150);
 constexpr Duration OnPathInterval = std::chrono::milliseconds(400);
 constexpr Duration SuspectInterval = std::chrono::milliseconds(500);
+constexpr Duration OrderedInterval = std::chrono::milliseconds(1000);
 constexpr Duration FillingInterval = std::chrono::milliseconds(400);
 constexpr Duration LoadInterval = std::chrono::milliseconds(800);
 
@@ -48,6 +49,8 @@
     return WaitedForInterval;
   case ReportReason::OnPath:
     return OnPathInterval;
+  case ReportReason::Ordered:
+    return OrderedInterval;
   case ReportReason::ForOthers:
     return ForOthersInterval;
   case ReportReason::Suspect:
--- a/packages/decide/report_schedule.h
+++ b/packages/decide/report_schedule.h
@@ -15,6 +15,7 @@
   WaitedFor, // requests wait for it as their first engine, or it refused one
   OnPath,    // requests wait for some engine of a path that it is on
   Suspect,   // it is distrusted, and may be back
+  Ordered,   // an order of this router is in progress at it
   Load,      // how full it is
   Filling,   // the same, of one that fills up
   ForOthers  // whether it is there, and how full, for the other routers
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -50,6 +50,7 @@
   m_Shared.m_Fleet.onTick(Now);
   askOverdue(Now);
   askAccused(Now);
+  askOrdered(Now);
   askSuspects(Now);
   askLoads(Now);
   m_Shared.m_Pool->closeIdle(CloseIdleAfter);
@@ -74,6 +75,13 @@
     askIfDue(Each, ReportReason::WaitedFor, Now);
 }
 
+// Engines that work on orders of this router: their reports tell whether they
+// are still at it.
+void EngineWatch::askOrdered(Instant Now) {
+  for (const EndpointId &Each : m_Shared.m_Ordered)
+    askIfDue(Each, ReportReason::Ordered, Now);
+}
+
 void EngineWatch::askSuspects(Instant Now) {
   for (const auto &[Id, Known] : m_Shared.m_Fleet.all())
     if (Known.m_Suspect && Now - Known.m_SuspectSince > DistrustTime)
--- a/packages/forward/engine_watch.h
+++ b/packages/forward/engine_watch.h
@@ -25,6 +25,7 @@
 private:
   void tick();
   void askOverdue(Instant Now);
+  void askOrdered(Instant Now);
   void askAccused(Instant Now);
   void askSuspects(Instant Now);
   void askLoads(Instant Now);
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -100,7 +100,8 @@
   // context, after this object, so each holds the set itself.
   std::shared_ptr<std::set<ForwardCall *>> m_Calls =
       std::make_shared<std::set<ForwardCall *>>();
-  std::set<EndpointId> m_Accused; // named in refusals since the last check
+  std::set<EndpointId> m_Accused;    // named in refusals since the last check
+  std::vector<EndpointId> m_Ordered; // whose reports orders wait for
 
 private:
   struct Chains {
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -65,6 +65,7 @@
   const Instant Now = ForwardState::now();
   const std::vector<decide::PlaceOrder> Due =
       m_Orders.due(m_Shared.m_Fleet, Service->m_Name, *Service->m_Engine, Now);
+  m_Shared.m_Ordered = m_Orders.awaited();
   if (Due.empty() && !m_Orders.pending()) {
     m_Turn.end();
     co_return;
--- a/tests/unit/layer_plan_test.cpp
+++ b/tests/unit/layer_plan_test.cpp
@@ -193,6 +193,111 @@
   CHECK_FALSE(Orders.due(Made, Llm, model(), T0 + 2s).empty());
 }
 
+// As on a day of 42 engines with several lost: the engine takes 8 s, since its
+// load shares the rate of the store and streams pass through what it gives up.
+TEST_CASE("an order that takes long is not given up while the engine is at it, "
+          "and its layers are not dealt to others") {
+  Fleet Made;
+  Made.put(engine("a", "a100s", {0, 20}), T0);
+  Made.put(engine("b", "a100s", {20, 40}), T0);
+  Made.put(engine("c", "a100s", {40, 60}), T0);
+  Made.put(engine("idle", "a100s"), T0);
+  Made.put(engine("spare", "l4"), T0);
+  LayerOrders Orders;
+  const auto First = Orders.due(Made, Llm, model(), T0);
+  REQUIRE(!First.empty());
+  for (const PlaceOrder &Each : First)
+    Orders.onSent(Each, model(), T0);
+  CHECK(Orders.awaited().size() == First.size());
+  const auto Report = [&](bool Ordered, Instant At) {
+    for (const PlaceOrder &Each : First) {
+      EngineLoadReport Load;
+      Load.m_Ordered = Ordered;
+      Made.onReport(Each.m_Engine, Load, At);
+    }
+  };
+  for (auto Now = T0 + 200ms; Now < T0 + 9s; Now += 200ms) {
+    if ((Now - T0) % 1s == 0ms)
+      Report(true, Now);
+    CHECK(Orders.due(Made, Llm, model(), Now).empty());
+    CHECK(Orders.pending());
+  }
+  // It ends without effect: planned anew after a moment, for the registry.
+  Report(false, T0 + 9s);
+  CHECK(Orders.due(Made, Llm, model(), T0 + 10s).empty());
+  CHECK_FALSE(Orders.due(Made, Llm, model(), T0 + 12s).empty());
+  // An engine that says so for ever is not waited for for ever.
+  Report(true, T0 + 40s);
+  Orders.due(Made, Llm, model(), T0 + 40s);
+  CHECK_FALSE(Orders.pending());
+}
+
+TEST_CASE("an engine that gave layers up gets no other order until the streams "
+          "that pass through them have ended") {
+  Fleet Made;
+  Made.put(engine("a", "a100s", {0, 16}), T0);
+  Made.put(engine("b", "a100s", {12, 28}), T0); // overlaps with "a"
+  Made.put(engine("c", "a100s", {28, 41}), T0);
+  Made.put(engine("d", "a100s", {41, 54}), T0);
+  Made.put(engine("e", "a100s", {54, 67}), T0);
+  Made.put(engine("f", "a100s", {67, 80}), T0);
+  LayerOrders Orders;
+  const auto First = Orders.due(Made, Llm, model(), T0);
+  REQUIRE(!First.empty());
+  REQUIRE(First[0].m_GivesUp);
+  const EndpointId Busy = First[0].m_Engine;
+  Orders.onSent(First[0], model(), T0);
+  // The registry shows the new layers at once; then the next engine is lost.
+  EndpointRecord Record = Made.find(Busy)->m_Record;
+  Record.m_Layers = First[0].m_Layers;
+  Made.put(Record, T0 + 100ms);
+  Made.suspect(EndpointId(Busy.str() == "a" ? "b" : "a"), "test", T0 + 100ms);
+  const auto Ordered = [&](Instant Now) {
+    std::set<EndpointId> To;
+    for (const PlaceOrder &Each : Orders.due(Made, Llm, model(), Now))
+      To.insert(Each.m_Engine);
+    return To;
+  };
+  CHECK_FALSE(Ordered(T0 + 200ms).contains(Busy));
+  CHECK_FALSE(Orders.pending()); // others may give up what they hold
+  EngineLoadReport Load;
+  Load.m_Ordered = true;
+  for (auto Now = T0 + 1s; Now < T0 + 9s; Now += 1s) {
+    Made.onReport(Busy, Load, Now);
+    CHECK_FALSE(Ordered(Now + 900ms).contains(Busy));
+  }
+  Load.m_Ordered = false;
+  Made.onReport(Busy, Load, T0 + 9s);
+  CHECK(Ordered(T0 + 9s).contains(Busy));
+}
+
+TEST_CASE("an engine that says it works on an order gets no other one") {
+  Fleet Made;
+  Made.put(engine("a", "a100s", {0, 20}), T0);
+  Made.put(engine("b", "a100s", {20, 40}), T0);
+  Made.put(engine("c", "a100s", {40, 60}), T0);
+  Made.put(engine("d", "a100s", {60, 80}), T0);
+  Made.put(engine("e", "a100s"), T0);
+  LayerOrders Orders;
+  const auto First = Orders.due(Made, Llm, model(), T0);
+  REQUIRE(First.size() == 1);
+  const EndpointId Busy = First[0].m_Engine;
+  const auto Due = [&](Instant Now) {
+    bool Found = false;
+    for (const PlaceOrder &Each : Orders.due(Made, Llm, model(), Now))
+      Found |= Each.m_Engine == Busy;
+    return Found;
+  };
+  EngineLoadReport Load;
+  Load.m_Ordered = true; // by the router that had the lease before
+  Made.onReport(Busy, Load, T0);
+  CHECK_FALSE(Due(T0 + 1s));
+  CHECK(Due(T0 + 4s)); // not heard of since
+  Load.m_Ordered = false;
+  Made.onReport(Busy, Load, T0 + 5s);
+  CHECK(Due(T0 + 5s));
+}
+
 TEST_CASE("first layers wait until no new engine appears") {
   Fleet Made = dataCentre();
   LayerOrders Orders;
