A path that is made anew leads through no layers that were given up since

Cause: a stream's path keeps the ranges of its start. Traced by the new field `instead` of `path_ordered`.

Change: stages whose engines hold less than their range now are made anew too, the engine going on with what it still holds; neighbouring ones as one gap. When the first engine gave layers up, no order is sent: its part must stay.

--- a/packages/decide/path_repair.cpp
+++ b/packages/decide/path_repair.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace mimosadale::decide {
 
@@ -12,6 +13,10 @@
 constexpr double TakenCost = 4;
 constexpr double CrossingCost = 2;
 
+// Cost of a stage at an engine that the path leads through already: it has read
+// the request.
+constexpr double OwnCost = 0.5;
+
 struct Offer {
   EndpointId m_Engine;
   LayerRange m_Held;
@@ -84,6 +89,22 @@
   return Found;
 }
 
+bool holds(const FleetEndpoint &Engine, LayerRange Part) {
+  const LayerRange &Held = Engine.m_Record.m_Layers;
+  return Held.m_First <= Part.m_First && Part.m_End <= Held.m_End;
+}
+
+// An engine of the path that gave up layers of its part since: what passes goes
+// on, but no new path may lead through them. With what it still holds, it goes
+// on as before.
+std::optional<Offer> ownOffer(const FleetEndpoint &Engine, double Tokens) {
+  const LayerRange &Held = Engine.m_Record.m_Layers;
+  if (Held.m_First >= Held.m_End)
+    return std::nullopt;
+  return Offer{Engine.m_Record.m_Id, Held, Tokens * (Held.m_End - Held.m_First),
+               OwnCost};
+}
+
 } // namespace
 
 PathState pathState(const Fleet &Engines, const Path &Stages, Instant Now) {
@@ -116,22 +137,40 @@
     return {};
   std::vector<Offer> Offers =
       offersFor(Engines, Chains, Broken, Unfit, Reach, Now);
+  if (!holds(*First, Broken.front().m_Layers))
+    return {}; // its part must stay as it is
   Path Whole;
-  for (const StagePlan &Each : Broken) {
-    if (!Lost.contains(Each.m_Endpoint)) {
-      Whole.push_back(Each);
-      continue;
-    }
-    const Path Instead = cover(Each.m_Layers, Offers, Tokens);
-    if (Instead.empty())
-      return {};
+  LayerRange Gap;
+  // Covers the stages since the last one that stays.
+  const auto Close = [&] {
+    const Path Instead = cover(Gap, Offers, Tokens);
     for (const StagePlan &One : Instead) {
       Whole.push_back(One);
       std::erase_if(Offers, [&](const Offer &Used) {
         return Used.m_Engine == One.m_Endpoint;
       });
     }
+    const bool Covered = Gap.m_First == Gap.m_End || !Instead.empty();
+    Gap.m_First = Gap.m_End;
+    return Covered;
+  };
+  for (const StagePlan &Each : Broken) {
+    const FleetEndpoint *Known = Engines.find(Each.m_Endpoint);
+    const bool Gone = Lost.contains(Each.m_Endpoint) || !Known;
+    if (!Gone && holds(*Known, Each.m_Layers)) {
+      if (!Close())
+        return {};
+      Whole.push_back(Each);
+      Gap = {Each.m_Layers.m_End, Each.m_Layers.m_End};
+      continue;
+    }
+    Gap.m_End = Each.m_Layers.m_End;
+    if (!Gone)
+      if (const auto Own = ownOffer(*Known, Tokens))
+        Offers.push_back(*Own);
   }
+  if (!Close())
+    return {};
   return Whole.size() <= MostPathStages ? Whole : Path();
 }
 
--- a/packages/decide/path_repair.h
+++ b/packages/decide/path_repair.h
@@ -24,9 +24,10 @@
 
 /// \p Broken with the layers of its stages at \p Lost run by usable engines of
 /// the same service that are not on the path yet, are not among \p Unfit and
-/// have room for \p Tokens. Prefers few stages and the emptier engines.
-/// \returns an empty path when the first stage is lost, which holds the
-/// request, or when some layers have no engine.
+/// have room for \p Tokens. Stages whose engines gave up layers of them since
+/// are made anew too, with what those still hold. Prefers few stages and the
+/// emptier engines. \returns an empty path when the first stage, which holds
+/// the request, is lost or gave layers up, or when some layers have no engine.
 Path repairPath(const Fleet &Engines, const ChainRouter &Chains,
                 const Path &Broken, const EndpointSet &Lost,
                 const EndpointSet &Unfit, double Tokens, RepairReach Reach,
--- a/packages/forward/forward_pauses.cpp
+++ b/packages/forward/forward_pauses.cpp
@@ -5,6 +5,7 @@
 #include "platform/names.h"
 #include "router/log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -22,6 +23,24 @@
 constexpr unsigned MostRepairs = 2;
 constexpr Duration RepairTimeout = std::chrono::milliseconds(400);
 
+// The stages of \p Fresh that \p Old did not have.
+decide::Path changesOf(const decide::Path &Old, const decide::Path &Fresh) {
+  decide::Path Found;
+  for (const decide::StagePlan &Each : Fresh)
+    if (std::find(Old.begin(), Old.end(), Each) == Old.end())
+      Found.push_back(Each);
+  return Found;
+}
+
+std::string textOf(const decide::Path &Stages) {
+  std::string Text;
+  for (const decide::StagePlan &Each : Stages)
+    Text += (Text.empty() ? "" : " ") + Each.m_Endpoint.str() + "=" +
+            std::to_string(Each.m_Layers.m_First) + "-" +
+            std::to_string(Each.m_Layers.m_End);
+  return Text;
+}
+
 } // namespace
 
 void ForwardCall::onTick(Instant Now) {
@@ -121,6 +140,7 @@
   Order.m_Headers = {{"Content-Type", "application/json"}};
   Order.m_Body = platform::encodeRepathOrder(
       Id.str(), platform::encodePath(Shared.m_Fleet, Fresh));
+  const decide::Path Changes = changesOf(m_Target.m_Path, Fresh);
   unsigned Status = 0;
   std::string Detail;
   std::string FaultAddress;
@@ -136,7 +156,7 @@
   router::logEvent(schema::INFO, "path_ordered",
                    {{"request", Id.str()},
                     {"first", First.str()},
-                    {"stages", std::to_string(Fresh.size())},
+                    {"instead", textOf(Changes)},
                     {"status", std::to_string(Status)},
                     {"fault_at", FaultAddress},
                     {"detail", Detail}});
--- a/tests/unit/path_repair_test.cpp
+++ b/tests/unit/path_repair_test.cpp
@@ -65,6 +65,34 @@
   CHECK(Fresh.size() == 5);
 }
 
+// As on a day of 42 engines: layers had moved since the streams began, then an
+// engine was lost; 62 streams of one chain could not be repaired.
+TEST_CASE("an engine of the path gave layers up since: the new path does not "
+          "lead through them") {
+  Fleet Engines = twoChains();
+  add(Engines, "a2", "a100s", {44, 60}); // 40 to 44 were given up
+  Engines.suspect(EndpointId("a1"), "test", T0);
+  const Path Fresh = repair(Engines, {EndpointId("a1")});
+  REQUIRE(tilesExactly(Fresh, 80));
+  for (const StagePlan &Each : Fresh) {
+    const LayerRange Held = Engines.find(Each.m_Endpoint)->m_Record.m_Layers;
+    CHECK(Held.m_First <= Each.m_Layers.m_First);
+    CHECK(Each.m_Layers.m_End <= Held.m_End);
+  }
+  CHECK(has(Fresh, "a2"));
+  CHECK(has(Fresh, "b4")); // for 40 to 44
+  // The first engine keeps its part as it is, or there is no new path.
+  add(Engines, "a0", "a100s", {0, 18});
+  CHECK(repair(Engines, {EndpointId("a1")}).empty());
+  // One that gave all up is as good as lost.
+  Engines = twoChains();
+  add(Engines, "a2", "a100s", {});
+  Engines.suspect(EndpointId("a1"), "test", T0);
+  const Path Without = repair(Engines, {EndpointId("a1")});
+  REQUIRE(tilesExactly(Without, 80));
+  CHECK_FALSE(has(Without, "a2"));
+}
+
 TEST_CASE(
     "any set of lost engines: each layer once, no engine twice, or none") {
   const Fleet Whole = twoChains();
