--- a/packages/forward/forward_pauses.cpp
+++ b/packages/forward/forward_pauses.cpp
@@ -111,20 +111,15 @@
 bool ForwardCall::repair(decide::RepairReach Reach, Instant Now) {
   decide::EndpointSet Lost =
       decide::pathState(m_Shared.m_Fleet, m_Target.m_Path, Now).m_Lost;
-  decide::EndpointSet Unfit = m_Unfit;
-  Lost.insert(Unfit.begin(), Unfit.end());
+  Lost.insert(m_Unfit.begin(), m_Unfit.end());
   const decide::ChainRouter *Chains = m_Shared.chainsOf(m_Service);
   if (Lost.empty() || !Chains)
     return false;
-  Unfit.merge(m_Shared.m_RepairGate.unfit(Now));
-  Lost.insert(Unfit.begin(), Unfit.end());
   decide::Path Fresh = decide::repairPath(
-      m_Shared.m_Fleet, *Chains, m_Target.m_Path, Lost, Unfit,
+      m_Shared.m_Fleet, *Chains, m_Target.m_Path, Lost, m_Unfit,
       m_Facts.m_Size ? m_Facts.m_Size->tokens() : 0, Reach, Now);
   if (Fresh.empty())
     return false;
-  if (!m_Shared.m_RepairGate.enter(changesOf(m_Target.m_Path, Fresh), Now))
-    return true; // another stream's order is about to tell
   ++m_Repairs;
   m_Repairing = true;
   asio::co_spawn(m_Shared.m_Io, orderPath(std::move(Fresh)), asio::detached);
@@ -165,16 +160,8 @@
                     {"status", std::to_string(Status)},
                     {"fault_at", FaultAddress},
                     {"detail", Detail}});
-  const auto *Fault = Shared.m_Fleet.findByAddress(FaultAddress);
-  const Instant Now = ForwardState::now();
-  const bool Awaited = Shared.m_RepairGate.onAnswer(
-      Changes, Status / 100 == 2, Fault ? Fault->m_Record.m_Id : EndpointId(),
-      Now);
   if (Calls->contains(this) && m_Facts.m_Id == Id && m_Run->sends() == Sends)
     onPathOrdered(Fresh, Status, FaultAddress);
-  if (Awaited)
-    for (ForwardCall *Each : std::vector(Calls->begin(), Calls->end()))
-      Each->onTick(Now);
 }
 
 void ForwardCall::onPathOrdered(const decide::Path &Fresh, unsigned Status,
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -6,7 +6,6 @@
 #include "decide/fleet.h"
 #include "decide/load_digest.h"
 #include "decide/reader_chooser.h"
-#include "decide/repair_gate.h"
 #include "decide/report_schedule.h"
 #include "decide/retry_budget.h"
 #include "decide/route_table.h"
@@ -103,7 +102,6 @@
       std::make_shared<std::set<ForwardCall *>>();
   std::set<EndpointId> m_Accused;    // named in refusals since the last check
   std::vector<EndpointId> m_Ordered; // whose reports orders wait for
-  decide::RepairGate m_RepairGate;
 
 private:
   struct Chains {
