--- a/packages/decide/pause_policy.cpp
+++ b/packages/decide/pause_policy.cpp
@@ -19,23 +19,8 @@
 // before callers leave, which they do after two seconds.
 constexpr Duration LongestPause = std::chrono::milliseconds(1300);
 
-// Time over which the streams of an engine that leaves are led around it: the
-// platform's engines stop some three seconds after they began to leave, of
-// which one has passed by then (`LeavingUse`).
-constexpr Duration LeavingSpread = std::chrono::milliseconds(1500);
-
 } // namespace
 
-bool LeavingTurn::comes(bool Leaves, Instant Now, double Draw) {
-  if (!Leaves) {
-    m_At.reset();
-    return false;
-  }
-  if (!m_At)
-    m_At = Now + std::chrono::duration_cast<Duration>(Draw * LeavingSpread);
-  return Now >= *m_At;
-}
-
 PauseStep stepFor(const PauseFacts &Facts) {
   const Duration Slack = Facts.m_EventSeen ? Duration{} : Facts.m_FirstWithin;
   if (Facts.m_Repairing)
--- a/packages/decide/pause_policy.h
+++ b/packages/decide/pause_policy.h
@@ -4,8 +4,6 @@
 
 #include "base/units.h"
 
-#include <optional>
-
 namespace mimosadale::decide {
 
 /// What is known of a request at chained engines that is waited for.
@@ -15,7 +13,7 @@
   Duration m_FirstWithin{};  // time within which its first event is due
   bool m_FirstLost = false;  // its first engine is gone or distrusted
   bool m_PathLost = false;   // another engine of its path is
-  bool m_PathLeaves = false; // it is its turn to be led around one that leaves
+  bool m_PathLeaves = false; // another engine of its path is about to leave
   bool m_Repairing = false;  // an order to change its path is under way
   bool m_MayRepair = false;  // and another such order may be given
   bool m_MayMove = false;    // it may be repeated, and sends are left
@@ -28,22 +26,6 @@
   Move     // end this send and go on at another chain, if there is room
 };
 
-/// When a stream is led around an engine that is about to leave: each at a time
-/// of its own, so that the engines that take over do not read the tokens of all
-/// at once.
-///
-/// \par Thread safety
-/// None.
-class LeavingTurn {
-public:
-  /// Whether it is time. \param Leaves whether there is such an engine now.
-  /// \param Draw uniform in [0, 1); the first one counts.
-  bool comes(bool Leaves, Instant Now, double Draw);
-
-private:
-  std::optional<Instant> m_At;
-};
-
 /// The step for a request as it stands. A pause alone never ends it unless it
 /// can go on elsewhere. Safe from any thread.
 PauseStep stepFor(const PauseFacts &Facts);
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -80,7 +80,7 @@
   decide::ForwardStep faultAt(const std::string &Address, unsigned Status);
   decide::ForwardStep ended();
   boost::asio::awaitable<void> toCaller(boost::asio::awaitable<void> Write);
-  decide::PauseFacts pauseFacts(Instant Now);
+  decide::PauseFacts pauseFacts(Instant Now) const;
   bool goElsewhere(Instant Now);
   boost::asio::awaitable<bool> awaitPlace();
   const decide::Chain *findChain(const decide::EndpointSet &Avoid, Instant Now);
@@ -126,8 +126,7 @@
   bool m_Charged = false;           // the next send's room is taken already
   bool m_Repairing = false;         // an order to change its path is under way
   unsigned m_Repairs = 0;           // such orders for the present send
-  decide::LeavingTurn m_LeavingTurn;
-  decide::EndpointSet m_Unfit; // engines that could not take a part of it
+  decide::EndpointSet m_Unfit;      // engines that could not take a part of it
   EventSplitter m_Events;
   std::optional<net::HttpResponse> m_Failure; // the endpoint's own, whole
   std::optional<Instant> m_FirstEvent;
--- a/packages/forward/forward_pauses.cpp
+++ b/packages/forward/forward_pauses.cpp
@@ -63,7 +63,7 @@
   }
 }
 
-decide::PauseFacts ForwardCall::pauseFacts(Instant Now) {
+decide::PauseFacts ForwardCall::pauseFacts(Instant Now) const {
   const decide::PathState Path =
       decide::pathState(m_Shared.m_Fleet, m_Target.m_Path, Now);
   decide::PauseFacts Facts;
@@ -72,9 +72,7 @@
   Facts.m_FirstWithin = m_Route->m_TargetLatency;
   Facts.m_FirstLost = Path.m_FirstLost;
   Facts.m_PathLost = Path.m_RestLost;
-  Facts.m_PathLeaves = m_LeavingTurn.comes(
-      Path.m_RestLeaves, Now,
-      std::uniform_real_distribution<double>(0, 1)(m_Shared.m_Random));
+  Facts.m_PathLeaves = Path.m_RestLeaves;
   Facts.m_Repairing = m_Repairing;
   Facts.m_MayRepair = m_Repairs < MostRepairs;
   Facts.m_MayMove = m_Route->m_Resumable && m_Run->maySwitch(Now);
@@ -97,12 +95,12 @@
   return m_RetryTaken;
 }
 
-// Other engines of the data centre come first, then another chain if an engine
-// is lost already, then engines of other data centres.
+// Other engines of the data centre come first, then another chain, then engines
+// of other data centres; these only for an engine that is lost already.
 void ForwardCall::repairOrMove(const decide::PauseFacts &Facts, Instant Now) {
-  if (repair(decide::RepairReach::SameDataCentre, Now))
+  if (repair(decide::RepairReach::SameDataCentre, Now) || !Facts.m_PathLost)
     return;
-  if (Facts.m_PathLost && Facts.m_MayMove && goElsewhere(Now))
+  if (Facts.m_MayMove && goElsewhere(Now))
     end(Ended::EngineLost);
   else
     repair(decide::RepairReach::Anywhere, Now);
--- a/tests/unit/path_repair_test.cpp
+++ b/tests/unit/path_repair_test.cpp
@@ -5,7 +5,6 @@
 #include "engine_fixture.h"
 
 #include <doctest/doctest.h>
-#include <vector>
 
 using namespace mimosadale;
 using namespace mimosadale::decide;
@@ -205,31 +204,6 @@
   CHECK_FALSE(pathState(Engines, Chain, Late).m_RestLost);
 }
 
-// As on a day of 42 engines: 53 streams through an engine that leaves were led
-// around it at once, when it had stopped, and stood still for 0.9 to 2.0 s.
-TEST_CASE("an engine leaves: its streams are led around it one after the other "
-          "while it still serves") {
-  constexpr int Streams = 53;
-  std::vector<LeavingTurn> Turns(Streams);
-  const auto Come = [&](Instant Now) {
-    int Count = 0;
-    for (int I = 0; I < Streams; ++I)
-      Count += Turns[static_cast<std::size_t>(I)].comes(
-          true, Now, static_cast<double>(I) / Streams);
-    return Count;
-  };
-  int Before = 0;
-  for (auto Passed = 0ms; Passed <= 1500ms; Passed += 100ms) {
-    const int Now = Come(T0 + Passed);
-    CHECK(Now - Before <= 4); // in each tenth of a second
-    Before = Now;
-  }
-  CHECK(Before == Streams);
-  // When none leaves any more, the next one has a turn of its own.
-  CHECK_FALSE(Turns[0].comes(false, T0 + 2s, 0));
-  CHECK_FALSE(Turns[0].comes(true, T0 + 3s, 0.5));
-}
-
 TEST_CASE("a pause: over all facts, silence alone ends nothing") {
   for (const auto Pause : {0ms, 101ms, 126ms, 251ms, 700ms, 1301ms, 3000ms})
     for (unsigned Bits = 0; Bits < 1u << 7; ++Bits) {
