Digest: figures are bounded before they are sent; the filter of orders reads simply

Read as a newcomer: a report's figure may be any double, and the cast of one out of bounds was not defined. The record of an engine was called Now.

--- a/packages/decide/layer_orders.cpp
+++ b/packages/decide/layer_orders.cpp
@@ -115,16 +115,14 @@
     Changing.insert(Engines.find(Id)->m_Record.m_DataCentre);
   // While a data centre changes, no engine gives up what another only is about
   // to hold.
-  const Instant At = Now;
   std::erase_if(Orders, [&](PlaceOrder &Each) {
-    const EndpointRecord &Now = Engines.find(Each.m_Engine)->m_Record;
-    Each.m_GivesUp = Now.m_Layers.m_End > 0 &&
-                     (Now.m_Layers.m_First < Each.m_Layers.m_First ||
-                      Now.m_Layers.m_End > Each.m_Layers.m_End);
+    const FleetEndpoint &Engine = *Engines.find(Each.m_Engine);
+    const LayerRange &Held = Engine.m_Record.m_Layers;
+    Each.m_GivesUp = Held.m_End > 0 && (Held.m_First < Each.m_Layers.m_First ||
+                                        Held.m_End > Each.m_Layers.m_End);
     return m_RefusedAt.contains(Each.m_Engine) ||
-           m_Ending.contains(Each.m_Engine) ||
-           ordered(*Engines.find(Each.m_Engine), At) ||
-           (Each.m_GivesUp && Changing.contains(Now.m_DataCentre));
+           m_Ending.contains(Each.m_Engine) || ordered(Engine, Now) ||
+           (Each.m_GivesUp && Changing.contains(Engine.m_Record.m_DataCentre));
   });
   return Orders;
 }
--- a/packages/decide/load_digest.cpp
+++ b/packages/decide/load_digest.cpp
@@ -22,9 +22,13 @@
 // states some hundred milliseconds).
 constexpr Duration ReportLag = std::chrono::milliseconds(500);
 
-// An engine's figure as it is sent: whole tokens, and nothing below zero.
+// Largest figure that is sent: whole numbers up to it are exact in a double.
+constexpr double LargestFigure = 9007199254740992.0;
+
+// An engine's figure as it is sent: whole tokens, within bounds.
 std::uint64_t wholeOf(double Figure) {
-  return static_cast<std::uint64_t>(std::llround(std::max(Figure, 0.0)));
+  return static_cast<std::uint64_t>(
+      std::llround(std::clamp(Figure, 0.0, LargestFigure)));
 }
 
 } // namespace
