A connection that does not come about says nothing of the sends before it

A send begins after its connection; when that fails, the request's life cycle undid what it knew of the send before: the endpoint of that one, which had run the request and answered 500, no longer counted as tried. The request could also be called "not run" though it had, and that is worse. Read in the code; the trace (0.63 s between the two endpoints, two connections of 0.3 s) fits. The exploration of all orders of faults began each send first.

Change: only a send that was begun is undone. onEndpointGone, unused, is removed.

Test: the exploration has connections that do not come about, and checks that no more endpoints than allowed may have run a request.

--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -1,5 +1,7 @@
 #include "decide/forward_run.h"
 
+#include <utility>
+
 namespace mimosadale::decide {
 
 namespace {
@@ -44,20 +46,23 @@
   m_Run.beforeDispatch();
   m_Tried.insert(Endpoint);
   m_Current = Endpoint;
+  m_Begun = true;
   ++m_Sends;
 }
 
 ForwardStep ForwardRun::onFault(SendFault How, const EndpointSet &Lost,
                                 Instant Now, const TakeRetry &Budget) {
-  if (How == SendFault::NotSent)
-    m_Run.dispatchNeverSent();
-  if (How == SendFault::SaidNotRun)
-    m_Run.endpointSaidNotRun(true);
-  // An endpoint that did not run it stands in no other's way where a part of
-  // the answer is out already and only a broken answer would be left.
-  if (How == SendFault::NotSent ||
-      (How == SendFault::SaidNotRun && m_HeadDelivered))
-    m_Tried.erase(m_Current);
+  if (std::exchange(m_Begun, false)) {
+    if (How == SendFault::NotSent)
+      m_Run.dispatchNeverSent();
+    if (How == SendFault::SaidNotRun)
+      m_Run.endpointSaidNotRun(true);
+    // An endpoint that did not run it stands in no other's way where a part of
+    // the answer is out already and only a broken answer would be left.
+    if (How == SendFault::NotSent ||
+        (How == SendFault::SaidNotRun && m_HeadDelivered))
+      m_Tried.erase(m_Current);
+  }
   m_Avoided.insert(Lost.begin(), Lost.end());
   const bool May = (repeatable() || m_Run.proof()) &&
                    (How != SendFault::Failed || !m_HeadDelivered);
--- a/packages/decide/forward_run.h
+++ b/packages/decide/forward_run.h
@@ -73,11 +73,9 @@
   /// The head of the answer went to the caller.
   void onHeadDelivered() { m_HeadDelivered = true; }
 
-  /// The endpoint of the present send has ended or was cut off: it no longer
-  /// counts against the endpoints that a request may be sent to.
-  void onEndpointGone(const EndpointId &Endpoint) { m_Tried.erase(Endpoint); }
-
-  /// The present send failed. \param Lost engines that the next path avoids.
+  /// The present send failed; one whose connection did not come about was not
+  /// begun, and says nothing of those before it. \param Lost engines that the
+  /// next path avoids.
   ForwardStep onFault(SendFault How, const EndpointSet &Lost, Instant Now,
                       const TakeRetry &Budget);
 
@@ -118,6 +116,7 @@
   EndpointSet m_Avoided;
   EndpointSet m_Tried; // distinct endpoints that may have begun to run it
   EndpointId m_Current;
+  bool m_Begun = false; // a send, whose end is not known yet
   bool m_HeadDelivered = false;
   unsigned m_Sends = 0;
 };
--- a/tests/unit/forward_run_test.cpp
+++ b/tests/unit/forward_run_test.cpp
@@ -25,7 +25,8 @@
 
 // What really happened to one request, beside what the machine believes.
 struct Truth {
-  unsigned m_MayHaveRun = 0; // sends that may have run
+  unsigned m_MayHaveRun = 0; // sends that may have run, each elsewhere
+  unsigned m_Unconnected = 0;
   unsigned m_States = 0;
 };
 
@@ -49,10 +50,22 @@
 
 // Plays every order of faults after `Run`; the head of a stream may go out
 // before each fault but those that come before an answer.
-void explore(ForwardRun Run, Truth Known, Kind Of, bool Budget,
+void explore(ForwardRun Run, Truth Known, Kind Of, unsigned Most, bool Budget,
              unsigned &States) {
   ++States;
   const auto Took = [Budget] { return Budget; };
+  if (Known.m_Unconnected < 2) {
+    // No connection to the next endpoint: nothing was begun there.
+    ForwardRun Next = Run;
+    Truth After = Known;
+    ++After.m_Unconnected;
+    const ForwardStep Step =
+        Next.onFault(SendFault::NotSent, {EndpointId("gone")}, T0, Took);
+    checkEnd(Step, After);
+    checkEnd(Next.onTimeout(), After);
+    if (std::holds_alternative<SendAgain>(Step))
+      explore(Next, After, Of, Most, Budget, States);
+  }
   for (const SendFault Fault : Faults)
     for (const bool Head : {false, true}) {
       const bool BeforeAnswer = Fault == SendFault::NotSent ||
@@ -67,6 +80,7 @@
         ++After.m_MayHaveRun;
       if (!Of.mayRepeat())
         REQUIRE(After.m_MayHaveRun <= 1);
+      REQUIRE(After.m_MayHaveRun <= Most);
       if (Head)
         Next.onHeadDelivered();
       const ForwardStep Step = Next.onFault(
@@ -77,7 +91,7 @@
           REQUIRE(After.m_MayHaveRun == 0);
         REQUIRE((Next.headDelivered() || Next.sends() < 5));
         if (Next.sends() < ExploredSends)
-          explore(Next, After, Of, Budget, States);
+          explore(Next, After, Of, Most, Budget, States);
       } else {
         // What is partly out is cut off, or goes on later if it may be
         // repeated.
@@ -128,7 +142,7 @@
         Start.m_MaxEndpoints = Most;
         Start.m_Deadline = T0 + 10s;
         Start.m_Timeout = T0 + 20s;
-        explore(ForwardRun(Start), {}, Of, Budget, States);
+        explore(ForwardRun(Start), {}, Of, Most, Budget, States);
       }
   std::cout << "forwarded requests: " << States << " states explored\n";
   CHECK(States > 500);
