Read as a newcomer: one copy of each thing, names in the field's terms

- Written twice: a path for the log (decide::pathText, in one form for both kinds of router), a pause in a coroutine (forward/pause, seven places), the lag of reports, 2^53, the time that another router may take, an endpoint that begins to leave, taking a retry with the room of another chain.
- Decided in the shell, now in packages/decide: whether a router may pass loads on, and which engines one asks for the others.
- Two functions that differed in one sign are one answer of three values: an order is in progress, is not, or the engine has not said so since.
- "ordered" had two meanings; reports say order_in_progress.
"Doors" are fuzz targets; the store's mode "Deaf" says what it does.

No check, bound or expectation is changed; a planned stop's test has "listener" in its name for "door".

--- a/packages/base/units.h
+++ b/packages/base/units.h
@@ -35,6 +35,10 @@
   return static_cast<Strong>(static_cast<std::uint64_t>(Value) + Steps);
 }
 
+/// 2^53: whole numbers up to it are exact in a double, and so in JSON (RFC
+/// 8259, section 6).
+constexpr double LargestExactCount = 9007199254740992.0;
+
 /// \p Value in seconds. Safe from any thread.
 constexpr double seconds(Duration Value) {
   return std::chrono::duration<double>(Value).count();
--- a/packages/decide/fleet.cpp
+++ b/packages/decide/fleet.cpp
@@ -99,16 +99,21 @@
           Known.m_Record.m_StartedMs < Latest->m_Record.m_StartedMs;
 }
 
+bool Fleet::beginLeaving(FleetEndpoint &Known, Instant Now) {
+  if (Known.m_Record.m_Leaving)
+    return false;
+  Known.m_Record.m_Leaving = true;
+  Known.m_LeavingSince = Now;
+  return true;
+}
+
 void Fleet::remove(const EndpointId &Id, Instant Now) {
   const auto Found = m_All.find(Id);
   if (Found == m_All.end() || Found->second.m_Dropped)
     return;
   FleetEndpoint &Known = Found->second;
   Known.m_Dropped = true;
-  if (!Known.m_Record.m_Leaving) {
-    Known.m_Record.m_Leaving = true;
-    Known.m_LeavingSince = Now;
-  }
+  beginLeaving(Known, Now);
   ++m_Revision;
 }
 
@@ -198,11 +203,8 @@
     return false;
   FleetEndpoint &Known = Found->second;
   Known.m_SaidLeaving = true;
-  if (!Known.m_Record.m_Leaving) {
-    Known.m_Record.m_Leaving = true;
-    Known.m_LeavingSince = Now;
+  if (beginLeaving(Known, Now))
     ++m_Revision;
-  }
   return true;
 }
 
--- a/packages/decide/fleet.h
+++ b/packages/decide/fleet.h
@@ -32,10 +32,14 @@
   double m_KvTotal = 0; // tokens times layers
   unsigned m_Queued = 0;
   unsigned m_Running = 0;
-  double m_Slowdown = 1;  // over 1: slower than its kind
-  bool m_Ordered = false; // an order is in progress
+  double m_Slowdown = 1; // over 1: slower than its kind
+  bool m_OrderInProgress = false;
 };
 
+/// Time by which an engine's report may lag behind its state: above what the
+/// platform states, some hundred milliseconds.
+constexpr Duration LongestReportLag = std::chrono::milliseconds(500);
+
 /// One endpoint with what this router believes of it.
 struct FleetEndpoint {
   EndpointRecord m_Record;
@@ -75,6 +79,12 @@
   /// Whether it asked this host to send nothing for now.
   bool paused(Instant Now) const { return Now < m_PausedUntil; }
 
+  /// Whether it holds layers in this data centre, by the registry.
+  bool servesIn(const DataCentreId &Here) const {
+    return m_Record.m_DataCentre == Here && m_Record.m_Layers.m_End > 0 &&
+           !m_Dropped;
+  }
+
   /// Whether layers may be planned on it.
   bool usable() const {
     return !m_Suspect && !m_Replaced && !m_Record.m_Leaving;
@@ -168,6 +178,8 @@
   std::uint64_t layersTaken() const { return m_LayersTaken; }
 
 private:
+  // Takes an endpoint for one that leaves. \returns whether that is news.
+  static bool beginLeaving(FleetEndpoint &Known, Instant Now);
   // Decides which of the endpoints at one address is there.
   void settleAddress(const std::string &Address);
 
--- a/packages/decide/layer_orders.cpp
+++ b/packages/decide/layer_orders.cpp
@@ -16,13 +16,10 @@
 constexpr Duration OrderSlack = std::chrono::milliseconds(2500);
 
 // Longest time for which an engine's word that it works on an order is taken:
-// the streams that pass through layers to be given up end within it.
+// twice the longest that an order was measured to take
+// (docs/design/platform-results.md).
 constexpr Duration LongestOrder = std::chrono::seconds(30);
 
-// Time by which an engine's report may lag behind its state (the platform
-// states some hundred milliseconds).
-constexpr Duration ReportLag = std::chrono::milliseconds(500);
-
 // Age up to which a report that an order is in progress holds: three of the
 // intervals at which engines that are ordered are asked.
 constexpr Duration OrderedAge = std::chrono::milliseconds(3000);
@@ -35,20 +32,18 @@
 
 // Whether another order can be of no use now: one is in progress, by the
 // engine's own word.
-bool ordered(const FleetEndpoint &Of, Instant Now) {
-  return Of.m_Load && Of.m_Load->m_Ordered && Now - Of.m_LoadAt < OrderedAge;
+bool busyWithOrder(const FleetEndpoint &Of, Instant Now) {
+  return Of.m_Load && Of.m_Load->m_OrderInProgress &&
+         Now - Of.m_LoadAt < OrderedAge;
 }
 
 } // namespace
 
-bool LayerOrders::Pending::inProgress(const FleetEndpoint &At) const {
-  return At.m_Load && At.m_Load->m_Ordered &&
-         At.m_LoadAt > m_SentAt + ReportLag;
-}
-
-bool LayerOrders::Pending::done(const FleetEndpoint &At) const {
-  return At.m_Load && !At.m_Load->m_Ordered &&
-         At.m_LoadAt > m_SentAt + ReportLag;
+std::optional<bool>
+LayerOrders::Pending::inProgress(const FleetEndpoint &At) const {
+  if (!At.m_Load || At.m_LoadAt <= m_SentAt + LongestReportLag)
+    return std::nullopt;
+  return At.m_Load->m_OrderInProgress;
 }
 
 void LayerOrders::settle(const Fleet &Engines, Instant Now) {
@@ -57,7 +52,7 @@
   for (auto *Orders : {&m_Pending, &m_Ending})
     for (auto &[Id, Each] : *Orders)
       if (const FleetEndpoint *Known = Engines.find(Id);
-          Known && Each.inProgress(*Known))
+          Known && Each.inProgress(*Known) == true)
         Each.m_Until =
             std::max(Each.m_Until, std::min(Known->m_LoadAt + OrderSlack,
                                             Each.m_SentAt + LongestOrder));
@@ -73,7 +68,8 @@
   });
   std::erase_if(m_Ending, [&](const auto &Each) {
     const FleetEndpoint *Known = Engines.find(Each.first);
-    return !Known || Now > Each.second.m_Until || Each.second.done(*Known);
+    return !Known || Now > Each.second.m_Until ||
+           Each.second.inProgress(*Known) == false;
   });
   std::erase_if(m_RefusedAt, [&](const auto &Each) {
     return Now - Each.second > RefusedPause;
@@ -121,7 +117,7 @@
     Each.m_GivesUp = Held.m_End > 0 && (Held.m_First < Each.m_Layers.m_First ||
                                         Held.m_End > Each.m_Layers.m_End);
     return m_RefusedAt.contains(Each.m_Engine) ||
-           m_Ending.contains(Each.m_Engine) || ordered(Engine, Now) ||
+           m_Ending.contains(Each.m_Engine) || busyWithOrder(Engine, Now) ||
            (Each.m_GivesUp && Changing.contains(Engine.m_Record.m_DataCentre));
   });
   return Orders;
--- a/packages/decide/layer_orders.h
+++ b/packages/decide/layer_orders.h
@@ -5,6 +5,7 @@
 #include "decide/layer_planner.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace mimosadale::decide {
@@ -45,9 +46,8 @@
     Instant m_SentAt{};
     Instant m_Until{}; // then it is given up
 
-    // The engine's own word, of after the order.
-    bool inProgress(const FleetEndpoint &At) const;
-    bool done(const FleetEndpoint &At) const;
+    // The engine's own word, of after the order; none yet.
+    std::optional<bool> inProgress(const FleetEndpoint &At) const;
   };
 
   void settle(const Fleet &Engines, Instant Now);
--- a/packages/decide/load_digest.cpp
+++ b/packages/decide/load_digest.cpp
@@ -18,17 +18,10 @@
 // Time without a digest after which the engines are asked: three were missed.
 constexpr Duration ToldFor = 3 * DigestPause;
 
-// Time by which an engine's report may lag behind its state (the platform
-// states some hundred milliseconds).
-constexpr Duration ReportLag = std::chrono::milliseconds(500);
-
-// Largest figure that is sent: whole numbers up to it are exact in a double.
-constexpr double LargestFigure = 9007199254740992.0;
-
 // An engine's figure as it is sent: whole tokens, within bounds.
 std::uint64_t wholeOf(double Figure) {
   return static_cast<std::uint64_t>(
-      std::llround(std::clamp(Figure, 0.0, LargestFigure)));
+      std::llround(std::clamp(Figure, 0.0, LargestExactCount)));
 }
 
 } // namespace
@@ -51,7 +44,7 @@
     Each.set_queued(Known.m_Load->m_Queued);
     Each.set_running(Known.m_Load->m_Running);
     Each.set_slowdown(static_cast<float>(Known.m_Load->m_Slowdown));
-    Each.set_ordered(Known.m_Load->m_Ordered);
+    Each.set_order_in_progress(Known.m_Load->m_OrderInProgress);
     Each.set_age_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(Now -
                                                               Known.m_LoadAt)
@@ -70,12 +63,13 @@
     Taken.m_Whole &= Known != nullptr;
     if (!Known || At <= Known->m_LoadAt)
       continue;
-    if (Known->m_Suspect && At > Known->m_SuspectSince + ReportLag)
+    if (Known->m_Suspect && At > Known->m_SuspectSince + LongestReportLag)
       Taken.m_Back.push_back(Id);
     Engines.onReport(Id,
                      {static_cast<double>(Each.kv_used()),
                       static_cast<double>(Each.kv_total()), Each.queued(),
-                      Each.running(), Each.slowdown(), Each.ordered()},
+                      Each.running(), Each.slowdown(),
+                      Each.order_in_progress()},
                      At);
   }
   return Taken;
--- a/packages/decide/path.cpp
+++ b/packages/decide/path.cpp
@@ -12,4 +12,13 @@
   return Next == Layers && Layers > 0;
 }
 
+std::string pathText(const Path &Stages) {
+  std::string Text;
+  for (const StagePlan &Each : Stages)
+    Text += (Text.empty() ? "" : " ") + Each.m_Endpoint.str() + "[" +
+            std::to_string(Each.m_Layers.m_First) + "," +
+            std::to_string(Each.m_Layers.m_End) + ")";
+  return Text;
+}
+
 } // namespace mimosadale::decide
--- a/packages/decide/path.h
+++ b/packages/decide/path.h
@@ -48,6 +48,9 @@
 /// Safe from any thread.
 bool tilesExactly(const Path &Stages, std::uint32_t Layers);
 
+/// \p Stages for the log: "a[0,20) b[20,80)". Safe from any thread.
+std::string pathText(const Path &Stages);
+
 } // namespace mimosadale::decide
 
 #endif
--- a/packages/decide/report_schedule.h
+++ b/packages/decide/report_schedule.h
@@ -26,6 +26,10 @@
   std::size_t m_Routers = 1; // that there are, this one included
   bool m_ForOthers = false;  // this one passes its reports on
   bool m_Told = false;       // another one's reports come here
+
+  /// Whether this one may pass loads on: a router that asks for itself alone
+  /// knows too little for others.
+  bool mayTell() const { return m_ForOthers || m_Told; }
 };
 
 /// Bounds how often each engine is asked.
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -2,14 +2,13 @@
 
 #include "forward/engine_client.h"
 #include "forward/forward_call.h"
+#include "forward/pause.h"
 #include "platform/names.h"
 #include "router/log.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace mimosadale::forward {
 
@@ -33,11 +32,9 @@
 } // namespace
 
 asio::awaitable<void> EngineWatch::run() {
-  asio::steady_timer Timer(m_Shared.m_Io);
   while (true) {
     tick();
-    Timer.expires_after(TickPause);
-    co_await Timer.async_wait(asio::use_awaitable);
+    co_await pauseFor(m_Shared.m_Io, TickPause);
   }
 }
 
@@ -78,7 +75,7 @@
 // Engines that work on orders of this router: their reports tell whether they
 // are still at it.
 void EngineWatch::askOrdered(Instant Now) {
-  for (const EndpointId &Each : m_Shared.m_Ordered)
+  for (const EndpointId &Each : m_Shared.m_UnderOrder)
     askIfDue(Each, ReportReason::Ordered, Now);
 }
 
@@ -115,10 +112,9 @@
 
 // The engines of this data centre, whose reports the other routers wait for.
 void EngineWatch::askForOthers(Instant Now) {
+  const DataCentreId Here(m_Shared.m_Settings.data_centre());
   for (const auto &[Id, Known] : m_Shared.m_Fleet.all())
-    if (Known.m_Record.m_DataCentre.str() ==
-            m_Shared.m_Settings.data_centre() &&
-        Known.m_Record.m_Layers.m_End > 0 && !Known.m_Dropped)
+    if (Known.servesIn(Here))
       askIfDue(Id, ReportReason::ForOthers, Now);
 }
 
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -1,12 +1,10 @@
 #include "forward/forward_call.h"
 
+#include "forward/pause.h"
 #include "platform/names.h"
 #include "router/log.h"
 #include "router/replies.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace mimosadale::forward {
 
 namespace asio = boost::asio;
@@ -160,16 +158,11 @@
 // false when the caller left or the time is over first.
 asio::awaitable<bool> ForwardCall::awaitPlace() {
   const Instant Begun = ForwardState::now();
-  asio::steady_timer Timer(m_Shared.m_Io);
   m_Run->onAwaitPlace();
   while (!m_Reserved && !m_CallerGone &&
          m_Run->maySwitch(ForwardState::now())) {
-    Timer.expires_after(PlacePause);
-    co_await Timer.async_wait(asio::use_awaitable);
-    const Instant Now = ForwardState::now();
-    if (const decide::Chain *Found = findChain({}, Now);
-        Found && m_Shared.budgetOf(m_Service).take(Now, m_Shared.m_Routers))
-      reserve(*Found);
+    co_await pauseFor(m_Shared.m_Io, PlacePause);
+    reserveWithRetry({}, ForwardState::now());
   }
   m_Shared.m_Metrics.counted(m_Reserved ? "place_found" : "place_not_found");
   router::logEvent(schema::INFO, "place_awaited",
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -84,7 +84,7 @@
   bool goElsewhere(Instant Now);
   boost::asio::awaitable<bool> awaitPlace();
   const decide::Chain *findChain(const decide::EndpointSet &Avoid, Instant Now);
-  void reserve(const decide::Chain &Of);
+  bool reserveWithRetry(const decide::EndpointSet &Avoid, Instant Now);
   std::optional<Target> takeReserved();
   void releaseReserved();
   bool repair(decide::RepairReach Reach, Instant Now);
--- a/packages/forward/forward_choice.cpp
+++ b/packages/forward/forward_choice.cpp
@@ -38,11 +38,17 @@
              : nullptr;
 }
 
-// Takes the room of the next send at once, before others can.
-void ForwardCall::reserve(const decide::Chain &Of) {
-  logSend(Of);
-  m_Reserved = targetOf(Of);
+// Takes a retry and the room of the next send at once, before others can.
+// \returns whether there are both.
+bool ForwardCall::reserveWithRetry(const decide::EndpointSet &Avoid,
+                                   Instant Now) {
+  const decide::Chain *Found = findChain(Avoid, Now);
+  if (!Found || !m_Shared.budgetOf(m_Service).take(Now, m_Shared.m_Routers))
+    return false;
+  logSend(*Found);
+  m_Reserved = targetOf(*Found);
   charge(*m_Reserved, 1);
+  return true;
 }
 
 ForwardCall::Target ForwardCall::targetOf(const decide::Chain &Of) const {
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -5,6 +5,7 @@
 #include "forward/forward_state.h"
 #include "forward/layer_control.h"
 #include "forward/load_exchange.h"
+#include "forward/pause.h"
 #include "forward/store_watch.h"
 #include "forward/task_guard.h"
 #include "platform/names.h"
@@ -13,7 +14,6 @@
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 
@@ -186,11 +186,6 @@
                              static_cast<double>(Config.m_Version));
   }
 
-  asio::awaitable<void> pause(Duration Time) {
-    asio::steady_timer Timer(m_Io, Time);
-    co_await Timer.async_wait(asio::use_awaitable);
-  }
-
   asio::awaitable<void> signalLoop() {
     while (true) {
       const int Signal = co_await m_Signals.async_wait(asio::use_awaitable);
@@ -229,7 +224,7 @@
     m_Shared.m_StopAt = Most;
     m_Callers->closeAfterAnswers();
     while (ForwardState::now() < std::min(Begun + BalancerTime, Most))
-      co_await pause(DrainCheckPause);
+      co_await pauseFor(m_Io, DrainCheckPause);
     m_Callers->stop();
     m_Callers->closeIdle();
     const Instant Closed = ForwardState::now();
@@ -239,7 +234,7 @@
     };
     while ((!m_Shared.m_Calls->empty() || MayBringMore()) &&
            ForwardState::now() < Most)
-      co_await pause(DrainCheckPause);
+      co_await pauseFor(m_Io, DrainCheckPause);
     if (!m_Shared.m_Calls->empty())
       router::logEvent(
           schema::WARN, "drain_timeout",
--- a/packages/forward/forward_pauses.cpp
+++ b/packages/forward/forward_pauses.cpp
@@ -32,15 +32,6 @@
   return Found;
 }
 
-std::string textOf(const decide::Path &Stages) {
-  std::string Text;
-  for (const decide::StagePlan &Each : Stages)
-    Text += (Text.empty() ? "" : " ") + Each.m_Endpoint.str() + "=" +
-            std::to_string(Each.m_Layers.m_First) + "-" +
-            std::to_string(Each.m_Layers.m_End);
-  return Text;
-}
-
 } // namespace
 
 void ForwardCall::onTick(Instant Now) {
@@ -87,11 +78,7 @@
     return false;
   decide::EndpointSet Avoid = m_Run->avoided();
   Avoid.insert(m_Target.m_Endpoint);
-  const decide::Chain *Other = findChain(Avoid, Now);
-  m_RetryTaken =
-      Other && m_Shared.budgetOf(m_Service).take(Now, m_Shared.m_Routers);
-  if (m_RetryTaken)
-    reserve(*Other);
+  m_RetryTaken = reserveWithRetry(Avoid, Now);
   return m_RetryTaken;
 }
 
@@ -156,7 +143,7 @@
   router::logEvent(schema::INFO, "path_ordered",
                    {{"request", Id.str()},
                     {"first", First.str()},
-                    {"instead", textOf(Changes)},
+                    {"instead", decide::pathText(Changes)},
                     {"status", std::to_string(Status)},
                     {"fault_at", FaultAddress},
                     {"detail", Detail}});
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -32,6 +32,10 @@
 /// largest fleet that is planned for.
 constexpr std::size_t MostRouters = 340;
 
+/// Time that another router may take for its answer, beyond what it was asked
+/// to wait: many times the way between data centres.
+constexpr Duration RouterAnswerTime = std::chrono::milliseconds(300);
+
 /// The tables, clients and settings of one forwarding router.
 ///
 /// \par Thread safety
@@ -100,8 +104,8 @@
   // context, after this object, so each holds the set itself.
   std::shared_ptr<std::set<ForwardCall *>> m_Calls =
       std::make_shared<std::set<ForwardCall *>>();
-  std::set<EndpointId> m_Accused;    // named in refusals since the last check
-  std::vector<EndpointId> m_Ordered; // whose reports orders wait for
+  std::set<EndpointId> m_Accused; // named in refusals since the last check
+  std::vector<EndpointId> m_UnderOrder; // whose reports orders wait for
 
 private:
   struct Chains {
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -1,6 +1,7 @@
 #include "forward/layer_control.h"
 
 #include "forward/engine_client.h"
+#include "forward/pause.h"
 #include "platform/endpoint_codec.h"
 #include "platform/names.h"
 #include "platform/own_rows_codec.h"
@@ -8,8 +9,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace mimosadale::forward {
 
@@ -38,12 +37,11 @@
       m_Begun(ForwardState::now()) {}
 
 asio::awaitable<void> LayerControl::run() {
-  asio::steady_timer Timer(m_Shared.m_Io);
   std::uniform_int_distribution<int> Spread(0, 60);
   while (true) {
-    Timer.expires_after(PlanPause +
-                        std::chrono::milliseconds(Spread(m_Shared.m_Random)));
-    co_await Timer.async_wait(asio::use_awaitable);
+    co_await pauseFor(m_Shared.m_Io,
+                      PlanPause +
+                          std::chrono::milliseconds(Spread(m_Shared.m_Random)));
     if (m_Shared.ready() && !m_Shared.m_Stopping &&
         ForwardState::now() - m_Begun > FirstPlan)
       co_await tick();
@@ -65,7 +63,7 @@
   const Instant Now = ForwardState::now();
   const std::vector<decide::PlaceOrder> Due =
       m_Orders.due(m_Shared.m_Fleet, Service->m_Name, *Service->m_Engine, Now);
-  m_Shared.m_Ordered = m_Orders.awaited();
+  m_Shared.m_UnderOrder = m_Orders.awaited();
   if (Due.empty() && !m_Orders.pending()) {
     m_Turn.end();
     co_return;
--- a/packages/forward/load_exchange.cpp
+++ b/packages/forward/load_exchange.cpp
@@ -1,32 +1,21 @@
 #include "forward/load_exchange.h"
 
+#include "forward/pause.h"
 #include "router/log.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace mimosadale::forward {
 
 namespace asio = boost::asio;
 
-namespace {
-
-// Time that a router may take for its answer, as for rows (`store_watch.cpp`).
-constexpr Duration AnswerTimeout = std::chrono::milliseconds(300);
-
-} // namespace
-
 LoadExchange::LoadExchange(ForwardState &Shared)
     : m_Shared(Shared), m_Start(std::uniform_int_distribution<std::uint64_t>(1)(
                             Shared.m_Random)) {}
 
 asio::awaitable<void> LoadExchange::run() {
-  asio::steady_timer Timer(m_Shared.m_Io);
   while (true) {
     if (auto Reader = m_Shared.m_Readers.reader(ForwardState::now()))
       co_await ask(std::move(*Reader));
-    Timer.expires_after(decide::LoadSource::pause());
-    co_await Timer.async_wait(asio::use_awaitable);
+    co_await pauseFor(m_Shared.m_Io, decide::LoadSource::pause());
   }
 }
 
@@ -36,8 +25,8 @@
     co_return;
   const Instant Asked = ForwardState::now();
   net::ExchangeOptions Options;
-  Options.m_ConnectTimeout = AnswerTimeout;
-  Options.m_Timeout = AnswerTimeout;
+  Options.m_ConnectTimeout = RouterAnswerTime;
+  Options.m_Timeout = RouterAnswerTime;
   net::HttpRequest Request;
   Request.m_Method = "POST";
   Request.m_Target = LoadsPath;
@@ -82,9 +71,7 @@
     Answer.m_Status = 400;
     return Answer;
   }
-  // A router that asks for itself alone knows too little for others.
-  const decide::Askers Askers = m_Shared.askers(Now);
-  if (!Askers.m_ForOthers && !Askers.m_Told) {
+  if (!m_Shared.askers(Now).mayTell()) {
     Answer.m_Status = 503;
     return Answer;
   }
--- /dev/null
+++ b/packages/forward/pause.cpp
@@ -0,0 +1,15 @@
+#include "forward/pause.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosadale::forward {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> pauseFor(asio::io_context &Io, Duration Time) {
+  asio::steady_timer Timer(Io, Time);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace mimosadale::forward
--- /dev/null
+++ b/packages/forward/pause.h
@@ -0,0 +1,18 @@
+// A pause in a coroutine.
+#ifndef MIMOSADALE_FORWARD_PAUSE_H
+#define MIMOSADALE_FORWARD_PAUSE_H
+
+#include "base/units.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace mimosadale::forward {
+
+/// Resumes after \p Time. \pre \p Io outlives it.
+boost::asio::awaitable<void> pauseFor(boost::asio::io_context &Io,
+                                      Duration Time);
+
+} // namespace mimosadale::forward
+
+#endif
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -1,6 +1,7 @@
 #include "forward/store_watch.h"
 
 #include "decide/rendezvous.h"
+#include "forward/pause.h"
 #include "platform/config_codec.h"
 #include "platform/endpoint_codec.h"
 #include "platform/names.h"
@@ -17,10 +18,8 @@
 
 namespace {
 
-// Time beyond its wait that an answer of the store, and of another router, may
-// take.
+// Time beyond its wait that an answer of the store may take.
 constexpr Duration StoreSlack = std::chrono::seconds(1);
-constexpr Duration PeerSlack = std::chrono::milliseconds(300);
 
 // Longest wait that another router is granted.
 constexpr Duration LongestPeerWait = std::chrono::seconds(1);
@@ -34,11 +33,6 @@
 // routers' table.
 constexpr Duration RegisterPause = std::chrono::seconds(1);
 
-asio::awaitable<void> pause(asio::io_context &Io, Duration Time) {
-  asio::steady_timer Timer(Io, Time);
-  co_await Timer.async_wait(asio::use_awaitable);
-}
-
 // The place of \p Self in the order in which routers take the lease for orders.
 std::size_t rankOf(const std::vector<std::string> &Names,
                    const std::string &Self) {
@@ -88,7 +82,7 @@
   while (!Registered) {
     Registered = co_await registerSelf(Row);
     if (!Registered)
-      co_await pause(m_Shared.m_Io, RegisterPause);
+      co_await pauseFor(m_Shared.m_Io, RegisterPause);
   }
   co_await follow(m_RouterRows);
 }
@@ -193,11 +187,12 @@
   if (Place == m_Shared.m_RouterPlaces.end())
     throw platform::StoreCallError("no other router is known");
   m_Shared.m_Metrics.counted("router_asked");
-  platform::StoreClient Other(
-      m_Shared.m_Client, net::parseAddress(Place->second.m_Peers), PeerSlack);
+  platform::StoreClient Other(m_Shared.m_Client,
+                              net::parseAddress(Place->second.m_Peers),
+                              RouterAnswerTime);
   if (Whole)
     co_return co_await Other.readTable(Of.m_Name);
-  co_return co_await Other.feed(Of.m_Name, After, How.m_Wait, PeerSlack);
+  co_return co_await Other.feed(Of.m_Name, After, How.m_Wait, RouterAnswerTime);
 }
 
 asio::awaitable<void> StoreWatch::follow(Table &Of) {
@@ -230,7 +225,7 @@
         noteStore(Of.m_Name, false, Wrong.what());
       Failed = true;
     }
-    co_await pause(m_Shared.m_Io, pauseAfter(Of, How, Failed));
+    co_await pauseFor(m_Shared.m_Io, pauseAfter(Of, How, Failed));
   }
 }
 
@@ -242,7 +237,7 @@
 
 asio::awaitable<void> StoreWatch::compareWithOthers() {
   while (true) {
-    co_await pause(m_Shared.m_Io, decide::comparePause());
+    co_await pauseFor(m_Shared.m_Io, decide::comparePause());
     for (Table *Each : {&m_Config, &m_Registry})
       if (Each->m_Cache.known())
         co_await compare(*Each);
--- a/packages/forward/task_guard.cpp
+++ b/packages/forward/task_guard.cpp
@@ -1,12 +1,10 @@
 #include "forward/task_guard.h"
 
-#include "base/units.h"
+#include "forward/pause.h"
 #include "router/log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace mimosadale::forward {
 
@@ -29,8 +27,7 @@
     }
     router::logEvent(schema::ERROR, "task_failed",
                      {{"task", Name}, {"detail", Why}});
-    asio::steady_timer Pause(Io, AgainAfter);
-    co_await Pause.async_wait(asio::use_awaitable);
+    co_await pauseFor(Io, AgainAfter);
   }
 }
 
--- a/packages/router/completion_call.cpp
+++ b/packages/router/completion_call.cpp
@@ -34,15 +34,6 @@
   return Seed;
 }
 
-std::string pathText(const decide::Path &Stages) {
-  std::string Text;
-  for (const decide::StagePlan &Each : Stages)
-    Text += (Text.empty() ? "" : " ") + Each.m_Endpoint.str() + "[" +
-            std::to_string(Each.m_Layers.m_First) + "," +
-            std::to_string(Each.m_Layers.m_End) + ")";
-  return Text;
-}
-
 } // namespace
 
 CompletionCall::CompletionCall(Context &Shared, net::HttpExchange &Exchange,
@@ -198,7 +189,7 @@
       return std::nullopt;
     auto Chosen = Chooser->choose(loads, Avoid, Context::random());
     m_Shared.m_Metrics.timed(Timing::Decision, Context::now() - Begun);
-    note(Chosen ? "path " + pathText(*Chosen) : "no path");
+    note(Chosen ? "path " + decide::pathText(*Chosen) : "no path");
     return Chosen;
   };
   Hooks.m_ChooseReplacement = [=, this](decide::LayerRange Layers,
@@ -208,7 +199,7 @@
     if (!Chooser)
       return std::nullopt;
     auto Chosen = Chooser->chooseReplacement(Layers, loads, Avoid);
-    note(Chosen ? "stage replaced by " + pathText({*Chosen})
+    note(Chosen ? "stage replaced by " + decide::pathText({*Chosen})
                 : "no replacement for the stage");
     return Chosen;
   };
@@ -433,7 +424,7 @@
 
 asio::awaitable<void> CompletionCall::complete(decide::CompleteRequest Done) {
   m_Outcome = "complete";
-  note("path at the end " + pathText(m_Pipeline->path()));
+  note("path at the end " + decide::pathText(m_Pipeline->path()));
   if (!m_Asked.m_Stream) {
     net::HttpResponse Response;
     Response.m_Headers = {{"Content-Type", "application/json"},
--- a/tests/fuzz/doors.cpp
+++ b/tests/fuzz/targets.cpp
@@ -1,4 +1,4 @@
-#include "fuzz/doors.h"
+#include "fuzz/targets.h"
 
 #include "decide/chain_router.h"
 #include "decide/layer_planner.h"
@@ -152,7 +152,7 @@
 }
 
 // An error that the parser states is its answer to bytes that mean nothing.
-Door stated(Door Of) {
+FuzzTarget stated(FuzzTarget Of) {
   return [Of](const std::string &Bytes) {
     try {
       Of(Bytes);
@@ -163,8 +163,8 @@
 
 } // namespace
 
-const std::map<std::string, Door> &doors() {
-  static const std::map<std::string, Door> All{
+const std::map<std::string, FuzzTarget> &fuzzTargets() {
+  static const std::map<std::string, FuzzTarget> All{
       {"config", stated(takeConfig)},
       {"entry", stated(takeEntry)},
       {"report", stated(takeReport)},
--- a/tests/platform/estate.cpp
+++ b/tests/platform/estate.cpp
@@ -311,7 +311,7 @@
     co_return;
   }
   net::HttpResponse Answer{503, {}, ""};
-  if (At.m_Mode == StoreMode::Serves || At.m_Mode == StoreMode::Deaf) {
+  if (At.m_Mode == StoreMode::Serves || At.m_Mode == StoreMode::Withholds) {
     if (Request.m_Target.starts_with("/v1/rows-feed")) {
       co_await feed(At, Exchange);
       co_return;
@@ -338,7 +338,7 @@
 
 void Estate::setStore(StoreMode Mode, std::size_t Listener) {
   const std::lock_guard Lock(m_Mutex);
-  m_Listeners[Listener].m_DeafAt = m_Version;
+  m_Listeners[Listener].m_WithholdsSince = m_Version;
   m_Listeners[Listener].m_Mode = Mode;
 }
 
@@ -359,11 +359,12 @@
           Rows.push_back(rowJson(Table, Key, Each));
       Version = m_Version;
     }
-    const bool Deaf = At.m_Mode == StoreMode::Deaf;
-    if (Deaf)
-      Version = At.m_DeafAt;
-    if ((!Rows.empty() && !Deaf) || std::chrono::steady_clock::now() > End ||
-        (At.m_Mode != StoreMode::Serves && !Deaf))
+    const bool Withholds = At.m_Mode == StoreMode::Withholds;
+    if (Withholds)
+      Version = At.m_WithholdsSince;
+    if ((!Rows.empty() && !Withholds) ||
+        std::chrono::steady_clock::now() > End ||
+        (At.m_Mode != StoreMode::Serves && !Withholds))
       break;
     Rows.clear();
     co_await pause(5ms);
--- a/tests/platform/estate.h
+++ b/tests/platform/estate.h
@@ -24,7 +24,7 @@
   Serves,
   Refuses,
   Silent,
-  Deaf // answers, but its feeds end with what was known when it turned deaf
+  Withholds // answers, but its feeds end with what was known when it began to
 };
 
 /// Serves the published calls of the platform on loopback addresses, in one
@@ -138,7 +138,8 @@
   using Task = boost::asio::awaitable<void>;
   struct Listener {
     std::atomic<StoreMode> m_Mode = StoreMode::Serves;
-    std::atomic<std::uint64_t> m_DeafAt = 0; // newest version before that
+    std::atomic<std::uint64_t> m_WithholdsSince =
+        0; // newest version before that
     std::unique_ptr<net::HttpServer> m_Server;
   };
 
--- a/tests/platform/forward_router.h
+++ b/tests/platform/forward_router.h
@@ -21,8 +21,8 @@
 /// None, except `callers()`.
 class ForwardRouter {
 public:
-  /// \param Listener the door of the store that it uses. \pre One thread makes
-  /// all of them.
+  /// \param Listener the listener of the store that it uses. \pre One thread
+  /// makes all of them.
   explicit ForwardRouter(const Estate &Of, const std::string &Name = "r1",
                          const std::string &Retries = PlentyRetries,
                          std::size_t Listener = 0);
--- a/tests/process/forward_stop_test.cpp
+++ b/tests/process/forward_stop_test.cpp
@@ -29,7 +29,7 @@
 }
 
 TEST_CASE("a planned stop under load: connections that are opened but not yet "
-          "accepted when the router closes its door get their answers") {
+          "accepted when the router closes its listener get their answers") {
   Estate Platform;
   fill(Platform);
   Router At(Platform);
--- a/tests/process/forward_store_test.cpp
+++ b/tests/process/forward_store_test.cpp
@@ -82,23 +82,23 @@
     Later = true;
   }
   CAPTURE(Later);
-  Router Deaf(Platform, "deaf", PlentyRetries, 1);
+  Router Behind(Platform, "behind", PlentyRetries, 1);
   if (Later) {
-    waitServing(Deaf);
+    waitServing(Behind);
     Platform.put("other", "row", "raises the version of all");
   }
   Router Near(Platform, "near");
   waitServing(Near);
-  waitServing(Deaf);
-  REQUIRE(harness::eventually([&] { return routersKnown(Deaf) == 2; }));
-  Platform.setStore(StoreMode::Deaf, 1);
+  waitServing(Behind);
+  REQUIRE(harness::eventually([&] { return routersKnown(Behind) == 2; }));
+  Platform.setStore(StoreMode::Withholds, 1);
   Platform.setKeys({"fresh"});
   Platform.configure(9);
   Platform.addService("b3", "booking");
   Platform.drain("b1");
   Platform.drain("b2");
   const auto Status = [&](const std::string &Key) {
-    return harness::http("GET", Deaf.callers(), "/look/a", headers("k", Key))
+    return harness::http("GET", Behind.callers(), "/look/a", headers("k", Key))
         .m_Status;
   };
   const bool KeyGone =
@@ -109,7 +109,7 @@
                Platform.pathOf("k") == std::vector<std::string>{"b3"};
       },
       4s);
-  CAPTURE(Deaf.log());
+  CAPTURE(Behind.log());
   CAPTURE(Near.log());
   CHECK(KeyGone);
   CHECK(FreshServes);
--- a/tests/unit/engine_fixture.h
+++ b/tests/unit/engine_fixture.h
@@ -43,6 +43,19 @@
   return Of;
 }
 
+// 2 a100s, 4 l4 and 7 t4: the engines of one data centre.
+inline Fleet dataCentre() {
+  Fleet Made;
+  const auto Add = [&](const std::string &Kind, int Count) {
+    for (int I = 0; I < Count; ++I)
+      Made.put(engine(Kind + "-" + std::to_string(I), Kind), T0);
+  };
+  Add("a100s", 2);
+  Add("l4", 4);
+  Add("t4", 7);
+  return Made;
+}
+
 } // namespace mimosadale::tests
 
 #endif
--- a/tests/unit/doors_test.cpp
+++ b/tests/unit/fuzz_targets_test.cpp
@@ -1,5 +1,5 @@
-// Inputs that were kept, at every parser's door.
-#include "fuzz/doors.h"
+// Inputs that were kept, at every fuzz target.
+#include "fuzz/targets.h"
 
 #include <doctest/doctest.h>
 #include <filesystem>
@@ -8,20 +8,20 @@
 
 using namespace mimosadale;
 
-TEST_CASE("hostile and malformed inputs do no harm at any door") {
+TEST_CASE("hostile and malformed inputs do no harm to any parser") {
   const std::filesystem::path Corpus =
       std::filesystem::path(MIMOSADALE_SOURCE) / "tests/fuzz/corpus";
-  for (const auto &[Name, Door] : tests::doors()) {
+  for (const auto &[Name, Target] : tests::fuzzTargets()) {
     unsigned Count = 0;
     for (const auto &File :
          std::filesystem::directory_iterator(Corpus / Name)) {
       std::ifstream In(File.path(), std::ios::binary);
       const std::string Bytes{std::istreambuf_iterator<char>(In), {}};
       CAPTURE(File.path().string());
-      CHECK_NOTHROW(Door(Bytes));
+      CHECK_NOTHROW(Target(Bytes));
       // Cut short anywhere, it is still only an error that is stated.
       for (std::size_t End = 0; End < Bytes.size(); End += 1 + End / 16)
-        CHECK_NOTHROW(Door(Bytes.substr(0, End)));
+        CHECK_NOTHROW(Target(Bytes.substr(0, End)));
       ++Count;
     }
     CAPTURE(Name);
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -107,7 +107,7 @@
           "Stalled":[{"Id":"abc","Address":"192.0.2.9:8080"}]})");
   CHECK(To.m_Load.m_Running == 12);
   CHECK(To.m_Load.m_Slowdown == 2.5);
-  CHECK(To.m_Load.m_Ordered);
+  CHECK(To.m_Load.m_OrderInProgress);
   REQUIRE(To.m_Stalled.size() == 1);
   CHECK(To.m_Stalled[0].m_Address == "192.0.2.9:8080");
 }
