Decode and log the limit that an endpoint names

Cause: the incident's logs cannot tell a router that does not read the limit from one that reads it late or keeps it for itself. Change: Server-Limit is decoded in platform/, logged as endpoint_limit and counted; nothing is decided from it. The fake platform names limits and keeps arrival times.

--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -46,6 +46,13 @@
     router::logEvent(schema::INFO, "endpoint_leaving",
                      {{"endpoint", From.str()}, {"source", "answer"}});
   }
+  if (Headers.m_RequestLimit) {
+    m_Metrics.countEvent("endpoint_limit_named");
+    router::logEvent(schema::INFO, "endpoint_limit",
+                     {{"endpoint", From.str()},
+                      {"per_second", std::to_string(*Headers.m_RequestLimit)},
+                      {"source", "answer"}});
+  }
   if (Headers.m_RetryAfter) {
     m_Fleet.onPaused(From, now() + *Headers.m_RetryAfter);
     m_Metrics.countEvent("endpoint_paused");
--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -245,7 +245,19 @@
 
 int FakePlatform::receivedRequests(const std::string &Id) {
   const std::lock_guard Lock(m_Mutex);
-  return m_Endpoints.at(Id)->m_ReceivedRequests;
+  return static_cast<int>(m_Endpoints.at(Id)->m_Arrivals.size());
+}
+
+void FakePlatform::nameLimit(const std::string &Id,
+                             std::optional<double> PerSecond) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Endpoints.at(Id)->m_RequestLimit = PerSecond;
+}
+
+std::vector<std::chrono::steady_clock::time_point>
+FakePlatform::arrivals(const std::string &Id) {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Endpoints.at(Id)->m_Arrivals;
 }
 
 void FakePlatform::abortStreams(const std::string &Id) {
@@ -434,7 +446,7 @@
     const std::lock_guard Lock(m_Mutex);
     InstanceId = Instance.m_Id;
     RetryAfter = Instance.m_RetryAfter;
-    ++Instance.m_ReceivedRequests;
+    Instance.m_Arrivals.push_back(std::chrono::steady_clock::now());
   }
   if (RetryAfter.count() > 0) {
     Answer = notRun(503, Instance.address());
@@ -472,9 +484,12 @@
   co_await sendAnswer(Instance, Exchange, std::move(Answer));
 }
 
-void FakePlatform::addLeavingHeader(const Endpoint &Instance,
-                                    net::HttpResponse &Answer) {
+void FakePlatform::addStateHeaders(const Endpoint &Instance,
+                                   net::HttpResponse &Answer) {
   const std::lock_guard Lock(m_Mutex);
+  if (Instance.m_RequestLimit)
+    Answer.m_Headers.push_back(
+        {platform::LimitHeader, std::to_string(*Instance.m_RequestLimit)});
   if (Instance.m_AnnouncesLeaving)
     Answer.m_Headers.push_back({platform::LeavingHeader, "1"});
 }
@@ -484,7 +499,7 @@
 FakePlatform::Task FakePlatform::sendAnswer(Endpoint &Instance,
                                             net::HttpExchange &Exchange,
                                             net::HttpResponse Answer) {
-  addLeavingHeader(Instance, Answer);
+  addStateHeaders(Instance, Answer);
   std::chrono::milliseconds DuplicateDelay{};
   {
     const std::lock_guard Lock(m_Mutex);
@@ -682,7 +697,7 @@
                           {platform::RequestIdHeader, Id},
                           {platform::InstanceHeader, Path.front()->m_Id}},
                          ""};
-  addLeavingHeader(Instance, Head);
+  addStateHeaders(Instance, Head);
   co_await Exchange.startStream(std::move(Head));
   for (unsigned EventId = LastEventId.empty() ? 1 : std::stoul(LastEventId) + 1;
        EventId <= TokenLimit; ++EventId) {
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -81,6 +82,12 @@
   /// The endpoint refuses all requests with this Retry-After; 0 ends it.
   void refuseWithRetryAfter(const std::string &Id,
                             std::chrono::seconds RetryAfter);
+  /// The endpoint names in all its answers how many requests a second it takes
+  /// from all routers together; none ends it.
+  void nameLimit(const std::string &Id, std::optional<double> PerSecond);
+  /// When requests of any kind reached the endpoint, in ascending order.
+  std::vector<std::chrono::steady_clock::time_point>
+  arrivals(const std::string &Id);
   /// Number of requests of any kind that reached the endpoint.
   int receivedRequests(const std::string &Id);
   /// Aborts the streams that run at the endpoint, and refuses requests with a
@@ -129,7 +136,8 @@
     int m_AnswersToDrop = 0;
     bool m_AnnouncesLeaving = false;
     std::chrono::seconds m_RetryAfter{};
-    int m_ReceivedRequests = 0;
+    std::optional<double> m_RequestLimit;
+    std::vector<std::chrono::steady_clock::time_point> m_Arrivals;
     bool m_SendsOnlyComments = false;
     std::chrono::milliseconds m_DuplicateDelay{};
     std::uint64_t m_Fence = 0;
@@ -165,7 +173,7 @@
   Task handleEndpoint(Endpoint &Instance, net::HttpExchange &Exchange);
   Task sendAnswer(Endpoint &Instance, net::HttpExchange &Exchange,
                   net::HttpResponse Answer);
-  void addLeavingHeader(const Endpoint &Instance, net::HttpResponse &Answer);
+  void addStateHeaders(const Endpoint &Instance, net::HttpResponse &Answer);
   Task serveStream(Endpoint &Instance, net::HttpExchange &Exchange);
   net::HttpResponse handleOrder(Endpoint &Instance, const std::string &Body);
   net::HttpResponse assignLayers(Endpoint &Instance,
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -180,6 +180,21 @@
   CHECK_FALSE(Decode(200, "Retry-After", "2").m_RetryAfter);
 }
 
+TEST_CASE("an endpoint names in an answer how many requests a second it takes; "
+          "a limit that is no number counts as the lowest") {
+  const auto Decode = [](const char *Value) {
+    net::HttpResponse Answer;
+    Answer.m_Headers = {{"server-limit", Value}};
+    return platform::decodeResponseHeaders(Answer).m_RequestLimit;
+  };
+  CHECK(Decode("4.4") == 4.4);
+  CHECK(Decode("0.05") == 0.05);
+  CHECK(Decode("12") == 12);
+  for (const char *Lowest : {"0", "-3", "", "nan", "inf", "many"})
+    CHECK(Decode(Lowest) == 0);
+  CHECK_FALSE(platform::decodeResponseHeaders({}).m_RequestLimit);
+}
+
 TEST_CASE("registry entries with figures out of bounds are refused") {
   const auto Decode = [](const std::string &Fields) {
     return platform::decodeRegistryEntry(
