Leave 50 ms between two rounds of limit notices

Cause: each changed limit starts a round at once; an endpoint that names another value in each answer would start one per answer, to up to 15 routers. Found by reading.

--- a/packages/forward/limit_exchange.cpp
+++ b/packages/forward/limit_exchange.cpp
@@ -1,5 +1,6 @@
 #include "forward/limit_exchange.h"
 
+#include "forward/sleep.h"
 #include "router/log.h"
 
 #include <algorithm>
@@ -17,6 +18,10 @@
 // Interval between two rounds of notices; drawn within a quarter of it.
 constexpr Duration RoundInterval = std::chrono::milliseconds(400);
 
+// Shortest interval between two rounds: endpoints may name another limit in
+// each answer.
+constexpr Duration MinRoundInterval = std::chrono::milliseconds(50);
+
 // Routers told in one round of a fleet that is too large to tell all.
 constexpr std::size_t RoutersPerRound = 3;
 
@@ -50,6 +55,7 @@
     if (m_State.m_Limits.active())
       tellRouters();
     m_HasNews = false;
+    co_await sleepFor(m_State.m_Io, MinRoundInterval);
   }
 }
 
