Break off answers without end, in head or body

Callers of an endpoint in trouble waited, and the router read on: 512 MB of a chunk header or a trailer (where the test's server stops), 122 MB in reply to a poll, 96 MB from a store. Cause: Beast bounds heads, not what follows a chunk; the buffers had no limit, polls and events none either. An interim response was taken for the answer of the store or another router, and what followed for the answers to the next calls. Kept connections with unread bytes are dropped.

--- a/packages/decide/request_limits.cpp
+++ b/packages/decide/request_limits.cpp
@@ -336,8 +336,8 @@
     Sent += Peer.m_Sent;
     Known += 1;
   }
-  const double Routers =
-      m_Routers.empty() ? MaxSharingRouters : m_Routers.size();
+  const auto Routers = static_cast<double>(
+      m_Routers.empty() ? MaxSharingRouters : m_Routers.size());
   const double Estimate = Sent * std::max(1.0, Routers / Known);
   const double Allowed =
       std::max(Entry.m_PerSecond, MinPerSecond) * seconds(LimitWindow);
@@ -364,13 +364,13 @@
   return Next;
 }
 
-bool RequestLimits::admitsPoll(const EndpointId &Endpoint, LimitPurpose Purpose,
+bool RequestLimits::admitsPoll(const EndpointId &Endpoint, PollUrgency Urgency,
                                Instant Now) {
   Limit *Entry = find(Endpoint);
   if (!Entry)
     return true;
   refill(Endpoint, *Entry, Now);
-  const bool Urgent = Purpose == LimitPurpose::UrgentPoll;
+  const bool Urgent = Urgency == PollUrgency::Urgent;
   const double Interval = (Urgent ? 1 : 1 / PollFraction);
   if (Entry->m_Share <= 0 || Now < holdUntil(Endpoint, *Entry, Now) ||
       Entry->m_Tokens < (Urgent ? UrgentPollTokens : 1) ||
--- a/packages/decide/request_limits.h
+++ b/packages/decide/request_limits.h
@@ -27,11 +27,10 @@
 /// What a statement changed.
 enum class LimitChange { None, Named, Changed, Ended };
 
-/// What a call to a limited endpoint is for.
-enum class LimitPurpose {
-  Request,
-  UrgentPoll, // requests wait for its result
-  Poll
+/// How soon the result of a poll of a limited endpoint is needed.
+enum class PollUrgency {
+  Routine,
+  Urgent // requests wait for it
 };
 
 /// Keeps, for each endpoint that names a limit, the requests of all routers
@@ -84,10 +83,9 @@
   /// may be sent now. For a share of nothing, a time at which to ask again.
   Instant nextAdmission(const EndpointId &Endpoint, Instant Now);
 
-  /// Whether a poll may be sent to \p Endpoint now. \pre \p Purpose is not
-  /// `Request`. Polls take a small part of the share.
-  bool admitsPoll(const EndpointId &Endpoint, LimitPurpose Purpose,
-                  Instant Now);
+  /// Whether a poll may be sent to \p Endpoint now. Routine polls take a small
+  /// part of the share.
+  bool admitsPoll(const EndpointId &Endpoint, PollUrgency Urgency, Instant Now);
 
   /// This router's share of the limit, in requests a second; 0 if other routers
   /// use it. \pre \p Endpoint is limited.
--- a/packages/forward/engine_client.cpp
+++ b/packages/forward/engine_client.cpp
@@ -14,6 +14,9 @@
 // A connection that was idle for longer is not reused for a short call.
 constexpr Duration MaxIdleTime = std::chrono::seconds(3);
 
+// Limit of the answer to a poll or an order.
+constexpr std::size_t MaxAnswerBytes = 1u << 20;
+
 // Cancels an exchange when its timeout expires.
 struct CallTimeout {
   CallTimeout(asio::io_context &Io, Duration Timeout) : m_Timer(Io, Timeout) {}
@@ -71,7 +74,8 @@
   State.onAnswer(To, platform::decodeResponseHeaders(Answer),
                  ForwardState::CallPurpose::PollOrOrder, SentAt);
   while (co_await Upstream->readSome(Answer.m_Body))
-    ;
+    if (Answer.m_Body.size() > MaxAnswerBytes)
+      throw net::OversizeError("answer without end");
   co_return Answer;
 }
 
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -137,8 +137,8 @@
                       Reason != ReportReason::Relay;
   if (m_Schedule.takeDuePoll(Endpoint, Reason, m_State.pollingRole(Now), Now) &&
       m_State.m_Limits.admitsPoll(Endpoint,
-                                  Urgent ? decide::LimitPurpose::UrgentPoll
-                                         : decide::LimitPurpose::Poll,
+                                  Urgent ? decide::PollUrgency::Urgent
+                                         : decide::PollUrgency::Routine,
                                   Now))
     asio::co_spawn(m_State.m_Io, poll(Endpoint), asio::detached);
 }
@@ -163,6 +163,8 @@
           Endpoint); // it responds, but serves no reports
     else
       Fault = "report: status " + std::to_string(Response.m_Status);
+  } catch (const net::OversizeError &Ex) {
+    m_State.onOversizeAnswer(Endpoint, std::string("report: ") + Ex.what());
   } catch (const std::exception &Ex) {
     // Any exception: a poll that never ended would exclude the engine from
     // polling.
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -16,8 +16,13 @@
 constexpr Duration MaxIdleTime = std::chrono::seconds(8);
 constexpr Duration MaxIdleTimeAtMostOnce = std::chrono::milliseconds(300);
 
-// Limit of an answer that is buffered before it is sent to the caller.
+// Limit of an answer that is buffered before it is sent to the caller, and of
+// all those that this router buffers at a time.
 constexpr std::size_t MaxAnswerBytes = 16u << 20;
+constexpr std::size_t MaxBufferedBytes = 48u << 20;
+
+// Limit of one event of a stream.
+constexpr std::size_t MaxEventBytes = 1u << 20;
 
 } // namespace
 
@@ -54,6 +59,8 @@
     } else if (m_AbortReason != AbortReason::None) {
       Step = stepAfterAbort();
     } else {
+      if (dynamic_cast<const net::OversizeError *>(&Ex))
+        m_State.onOversizeAnswer(m_Target.m_Endpoint, Detail);
       Step = onFault(AttemptFault::Broken, {m_Target.m_Endpoint});
     }
   }
@@ -248,10 +255,7 @@
     }
     co_return co_await relayEvents(Upstream);
   }
-  while (co_await Upstream.readSome(Answer.m_Body))
-    if (Answer.m_Body.size() > MaxAnswerBytes)
-      throw net::NetError(net::Phase::Read, false,
-                          "response larger than 16 MiB");
+  co_await readBody(Upstream, Answer.m_Body);
   if (Delivery) {
     logOutcome("answered", Head.m_Status);
     m_AttemptActive = false;
@@ -266,10 +270,30 @@
   co_return onFault(Fault, {m_Target.m_Endpoint});
 }
 
+// Reads the rest of an answer; its bytes count as buffered until it was read.
+asio::awaitable<void> ForwardCall::readBody(net::UpstreamExchange &Upstream,
+                                            std::string &Body) {
+  std::size_t Counted = 0;
+  const std::shared_ptr<std::size_t> Buffered = m_State.m_BufferedBytes;
+  const std::shared_ptr<void> Release(
+      nullptr, [&Counted, Buffered](void *) { *Buffered -= Counted; });
+  while (co_await Upstream.readSome(Body)) {
+    *Buffered += Body.size() - Counted;
+    Counted = Body.size();
+    if (Body.size() > MaxAnswerBytes)
+      throw net::OversizeError("answer without end");
+    if (*Buffered > MaxBufferedBytes)
+      throw net::NetError(net::Phase::Read, false,
+                          "more answers than this router may buffer");
+  }
+}
+
 asio::awaitable<std::optional<ForwardAction>>
 ForwardCall::relayEvents(net::UpstreamExchange &Upstream) {
   while (co_await Upstream.readSome(m_Splitter.buffer())) {
     std::string Complete = m_Splitter.takeComplete();
+    if (m_Splitter.buffer().size() > MaxEventBytes)
+      throw net::OversizeError("event without end");
     if (Complete.empty())
       continue; // bytes without a complete event are no progress
     m_LastProgressAt = ForwardState::now();
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -74,6 +74,8 @@
   runExchange(Target To);
   boost::asio::awaitable<std::optional<decide::ForwardAction>>
   relay(net::UpstreamExchange &Upstream, net::HttpResponse Head);
+  boost::asio::awaitable<void> readBody(net::UpstreamExchange &Upstream,
+                                        std::string &Body);
   boost::asio::awaitable<std::optional<decide::ForwardAction>>
   relayEvents(net::UpstreamExchange &Upstream);
   boost::asio::awaitable<bool> applyStep(decide::ForwardAction Step);
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -140,6 +140,12 @@
     m_TellLimits();
 }
 
+void ForwardState::onOversizeAnswer(const EndpointId &Endpoint,
+                                    const std::string &Detail) {
+  m_Metrics.countEvent("answer_without_end");
+  suspect(Endpoint, Detail);
+}
+
 decide::PollingRole ForwardState::pollingRole(Instant Now) const {
   decide::PollingRole Sharing;
   Sharing.m_ReceivesReports = m_LoadSource.isCurrent(Now);
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -68,6 +68,9 @@
   /// \param Reason what showed that the endpoint responds.
   void trust(const EndpointId &Endpoint, const std::string &Reason);
 
+  /// An answer of \p Endpoint exceeded its size limit: it may have no end.
+  void onOversizeAnswer(const EndpointId &Endpoint, const std::string &Detail);
+
   /// Returns how the routers of this data centre share the polling of engines.
   decide::PollingRole pollingRole(Instant Now) const;
 
@@ -137,6 +140,11 @@
   std::shared_ptr<std::set<ForwardCall *>> m_Calls =
       std::make_shared<std::set<ForwardCall *>>();
 
+  // Bytes of answers that are read into memory as a whole. Shared for the same
+  // reason.
+  std::shared_ptr<std::size_t> m_BufferedBytes =
+      std::make_shared<std::size_t>(0);
+
   // Engines named in refusals since the last poll.
   std::set<EndpointId> m_RefusingEngines;
   // Engines with an order of this router in progress.
--- a/packages/forward/load_exchange.cpp
+++ b/packages/forward/load_exchange.cpp
@@ -7,6 +7,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Limit of a digest: several times that of the largest fleet.
+constexpr std::size_t MaxDigestBytes = 2u << 20;
+
+} // namespace
+
 LoadExchange::LoadExchange(ForwardState &State)
     : m_State(State), m_ProcessTag(std::uniform_int_distribution<std::uint64_t>(
                           1)(State.m_Random)) {}
@@ -27,6 +34,7 @@
   net::ExchangeOptions Options;
   Options.m_ConnectTimeout = PeerTimeout;
   Options.m_Timeout = PeerTimeout;
+  Options.m_MaxBodyBytes = MaxDigestBytes;
   net::HttpRequest Request;
   Request.m_Method = "POST";
   Request.m_Target = LoadsPath;
--- a/packages/net/client.cpp
+++ b/packages/net/client.cpp
@@ -26,6 +26,13 @@
 // Limit of idle connections per server.
 constexpr std::size_t MaxIdlePerServer = 256;
 
+// Limit of what is buffered before a part of the response is complete: larger
+// than a head and one read of the body.
+constexpr std::size_t MaxUnparsedBytes = 96u << 10;
+
+// Interim responses (1xx) that are skipped; one more fails the exchange.
+constexpr unsigned MaxInterimResponses = 2;
+
 // TCP keep-alive. Detects within about three seconds, also on idle connections,
 // that a network partition or lost connection state has cut off the peer.
 constexpr int KeepAliveIdleSeconds = 1;
@@ -49,7 +56,8 @@
 // fire there.
 struct Connection {
   explicit Connection(const asio::any_io_executor &Executor)
-      : m_Strand(asio::make_strand(Executor)), m_Stream(m_Strand) {}
+      : m_Strand(asio::make_strand(Executor)), m_Stream(m_Strand),
+        m_Buffer(MaxUnparsedBytes) {}
 
   asio::strand<asio::any_io_executor> m_Strand;
   beast::tcp_stream m_Stream;
@@ -64,6 +72,10 @@
 
 [[noreturn]] void throwNetError(Phase FailedPhase,
                                 const beast::system_error &Err) {
+  if (Err.code() == http::error::header_limit ||
+      Err.code() == http::error::body_limit ||
+      Err.code() == http::error::buffer_overflow)
+    throw OversizeError(Err.code().message());
   throw NetError(FailedPhase, Err.code() == beast::error::timeout,
                  Err.code().message());
 }
@@ -93,10 +105,10 @@
   return Response;
 }
 
-// A response, and whether the server keeps the connection open.
+// A response, and whether the connection may carry another exchange.
 struct ExchangeResult {
   HttpResponse m_Response;
-  bool m_KeepAlive = false;
+  bool m_Reusable = false;
 };
 
 asio::awaitable<void> connect(ConnectionPtr Conn, Address Server,
@@ -125,13 +137,20 @@
     Conn->m_Stream.expires_after(Options.m_Timeout);
     co_await http::async_write(Conn->m_Stream, Message, asio::use_awaitable);
     CurrentPhase = Phase::Read;
-    http::response_parser<http::string_body> Parser;
-    Parser.body_limit(Options.m_MaxBodyBytes);
-    co_await http::async_read(Conn->m_Stream, Conn->m_Buffer, Parser,
-                              asio::use_awaitable);
-    Conn->m_Stream.expires_never();
-    const bool KeepAlive = Parser.get().keep_alive();
-    co_return ExchangeResult{fromBeast(Parser.release()), KeepAlive};
+    for (unsigned Interim = 0; Interim <= MaxInterimResponses; ++Interim) {
+      http::response_parser<http::string_body> Parser;
+      Parser.body_limit(Options.m_MaxBodyBytes);
+      co_await http::async_read(Conn->m_Stream, Conn->m_Buffer, Parser,
+                                asio::use_awaitable);
+      if (Parser.get().result_int() / 100 == 1)
+        continue;
+      Conn->m_Stream.expires_never();
+      // Bytes after the response belong to no request.
+      const bool Reusable =
+          Parser.get().keep_alive() && Conn->m_Buffer.size() == 0;
+      co_return ExchangeResult{fromBeast(Parser.release()), Reusable};
+    }
+    throw OversizeError("received only interim responses");
   } catch (const beast::system_error &Err) {
     throwNetError(CurrentPhase, Err);
   }
@@ -188,7 +207,7 @@
   ExchangeResult Result = co_await asio::co_spawn(
       Conn->m_Strand, sendAndReceive(Conn, Server, std::move(Request), Options),
       asio::use_awaitable);
-  if (Result.m_KeepAlive)
+  if (Result.m_Reusable)
     Connections->release(Server, std::move(Conn));
   co_return std::move(Result.m_Response);
 }
--- a/packages/net/client.h
+++ b/packages/net/client.h
@@ -16,7 +16,7 @@
   Duration m_Timeout = std::chrono::seconds(5);
   Duration m_ConnectTimeout = std::chrono::milliseconds(500);
   bool m_NewConnection = false;           // do not use a pooled connection
-  std::size_t m_MaxBodyBytes = 64u << 20; // bytes
+  std::size_t m_MaxBodyBytes = 16u << 20; // of the response
 };
 
 /// Sends HTTP/1.1 requests over pooled connections.
@@ -35,7 +35,8 @@
   /// If the server has closed a pooled connection in the meantime, the write or
   /// read fails and the caller of this function decides whether to retry.
   /// Requests that must not be sent twice set `m_NewConnection`.
-  /// \throws NetError. \pre The executor is running.
+  /// \throws NetError, an OversizeError for a response beyond the limit. \pre
+  /// The executor is running.
   boost::asio::awaitable<HttpResponse>
   exchange(Address Server, HttpRequest Request, ExchangeOptions Options = {});
 
--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -55,6 +55,13 @@
   bool m_TimedOut;
 };
 
+/// Thrown when a response exceeds a size limit: it may have no end.
+class OversizeError : public NetError {
+public:
+  explicit OversizeError(const std::string &Message)
+      : NetError(Phase::Read, false, Message) {}
+};
+
 struct Address {
   std::string m_Ip;
   unsigned short m_Port = 0;
--- a/packages/net/upstream.cpp
+++ b/packages/net/upstream.cpp
@@ -33,6 +33,13 @@
 // more fails the exchange.
 constexpr unsigned MaxUnexpectedResponses = 2;
 
+// Limit of the body of an unexpected response.
+constexpr std::size_t MaxUnexpectedBytes = 1u << 20;
+
+// Limit of what is buffered before a part of the response is complete: larger
+// than a head and one read of the body.
+constexpr std::size_t MaxUnparsedBytes = 96u << 10;
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 std::string serverKey(const Address &Server) {
@@ -41,6 +48,9 @@
 
 [[noreturn]] void throwNetError(Phase FailedPhase,
                                 const boost::system::system_error &Err) {
+  if (Err.code() == http::error::header_limit ||
+      Err.code() == http::error::buffer_overflow)
+    throw OversizeError("response head without end");
   throw NetError(FailedPhase, Err.code() == asio::error::operation_aborted,
                  Err.code().message());
 }
@@ -82,7 +92,8 @@
 class UpstreamExchange::Connection {
 public:
   Connection(const asio::any_io_executor &Executor, Address Server)
-      : m_Server(std::move(Server)), m_Socket(Executor) {}
+      : m_Server(std::move(Server)), m_Socket(Executor),
+        m_Buffer(MaxUnparsedBytes) {}
 
   // Whether an idle connection is still open and has no unread input: bytes
   // received between exchanges belong to no request.
@@ -156,9 +167,14 @@
         parseKeepAliveTimeout(m_Connection->m_Parser->get());
     if (IsExpected(Head))
       co_return Head;
+    std::size_t DiscardedBytes = 0;
     std::string Discarded;
-    while (co_await readSome(Discarded))
+    while (co_await readSome(Discarded)) {
+      DiscardedBytes += Discarded.size();
       Discarded.clear();
+      if (DiscardedBytes > MaxUnexpectedBytes)
+        throw OversizeError("response to another request without end");
+    }
   }
   throw NetError(Phase::Read, false,
                  "received only responses to other requests");
--- a/packages/net/upstream.h
+++ b/packages/net/upstream.h
@@ -31,7 +31,8 @@
 
   /// Reads the status line and headers of the response. Responses for which
   /// \p IsExpected returns false are read to their end and dropped.
-  /// \throws NetError. \pre `send` has completed.
+  /// \throws NetError, an OversizeError for a head without end. \pre `send` has
+  /// completed.
   boost::asio::awaitable<HttpResponse>
   readHead(std::function<bool(const HttpResponse &)> IsExpected);
 
--- a/tests/unit/request_limits_test.cpp
+++ b/tests/unit/request_limits_test.cpp
@@ -234,7 +234,7 @@
   unsigned Polls = 0;
   unsigned Requests = 0;
   for (Instant Now = T0; Now < T0 + 40s; Now += 25ms) {
-    if (Limits.admitsPoll(Engine, LimitPurpose::Poll, Now)) {
+    if (Limits.admitsPoll(Engine, PollUrgency::Routine, Now)) {
       Limits.onSent(Engine, Now);
       ++Polls;
     }
