Hold the time-out of a call also while its answer arrives without a pause

A store's call with a time-out of 2 s took 6.3 s under the thread sanitizer. Cause: a read that finds data at once cancels the stream's timer before its handler runs, so that a fast sender starves the time-out. Ruled out: load alone (the byte bound ended the call, not the time-out). Change: the deadline is checked between reads.

--- a/packages/net/client.cpp
+++ b/packages/net/client.cpp
@@ -134,14 +134,22 @@
   Phase CurrentPhase = Phase::Write;
   try {
     auto Message = toBeast(Server, std::move(Request));
+    const auto Deadline = std::chrono::steady_clock::now() + Options.m_Timeout;
     Conn->m_Stream.expires_after(Options.m_Timeout);
     co_await http::async_write(Conn->m_Stream, Message, asio::use_awaitable);
     CurrentPhase = Phase::Read;
     for (unsigned Interim = 0; Interim <= MaxInterimResponses; ++Interim) {
       http::response_parser<http::string_body> Parser;
       Parser.body_limit(Options.m_MaxBodyBytes);
-      co_await http::async_read(Conn->m_Stream, Conn->m_Buffer, Parser,
-                                asio::use_awaitable);
+      Parser.eager(true);
+      while (!Parser.is_done()) {
+        co_await http::async_read_some(Conn->m_Stream, Conn->m_Buffer, Parser,
+                                       asio::use_awaitable);
+        // Reads that find data at once complete before the stream's timer can
+        // expire.
+        if (!Parser.is_done() && std::chrono::steady_clock::now() >= Deadline)
+          throw NetError(Phase::Read, true, "response did not end in time");
+      }
       if (Parser.get().result_int() / 100 == 1)
         continue;
       Conn->m_Stream.expires_never();
