--- a/packages/decide/request_limits.cpp
+++ b/packages/decide/request_limits.cpp
@@ -30,7 +30,7 @@
 constexpr double SavedRequests = 2;
 constexpr double SavedSeconds = 1;
 
-// Mean life of a request in the measured demand.
+// Time constant of the mean demand.
 constexpr double DemandSeconds = 8;
 
 // Demand in requests a second at which level 1 begins; each further level is
