Decide in decide which routers hear of limits

Cause: the driver chose the audience of a round, and the simulation wrote the choice again; the time that a level takes to spread depends on it and stands in decide. Change: RequestLimits::audience, used by both.

--- a/bench/support/limit_simulation.cpp
+++ b/bench/support/limit_simulation.cpp
@@ -10,8 +10,7 @@
 constexpr double StepSeconds = 0.01;
 constexpr double WindowSeconds = 4;
 constexpr double NoticeSeconds = 0.4;
-constexpr std::size_t NoticeFanOut = 3;
-constexpr std::size_t MaxDirectRouters = 8;
+const std::string NamePrefix = "router-";
 
 Instant at(double Time) {
   return Instant{} + std::chrono::hours(1) + fromSeconds(Time);
@@ -35,6 +34,7 @@
     m_Outcome.m_TurnedAwayByRouter.resize(Scenario.m_Routers);
     for (std::size_t I = 0; I < Scenario.m_Routers; ++I) {
       m_Limits.push_back(nullptr);
+      m_HasNews.push_back(false);
       m_NextNotice.push_back(uniform() * NoticeSeconds);
     }
     for (std::size_t I = 0; I < Scenario.m_Endpoints; ++I)
@@ -74,7 +74,13 @@
   }
 
   static std::string nameOf(std::size_t Router) {
-    return "router-" + std::to_string(Router);
+    return NamePrefix + std::to_string(Router);
+  }
+
+  // A router has news for the others.
+  void announce(std::size_t Router, double Time) {
+    m_HasNews[Router] = true;
+    m_NextNotice[Router] = Time;
   }
 
   void updateList(double Time) {
@@ -120,7 +126,7 @@
       const auto Change = m_Limits[Next.m_Router]->onAnswer(
           m_Endpoints[Next.m_Endpoint], Statement, at(Time));
       if (Change != decide::LimitChange::None)
-        m_NextNotice[Next.m_Router] = Time;
+        announce(Next.m_Router, Time);
     }
   }
 
@@ -163,20 +169,16 @@
     m_NextNotice[Router] = Time + NoticeSeconds * (0.75 + uniform() / 2);
     if (!m_Limits[Router]->active() || !connected(Router, Time))
       return;
-    std::vector<std::size_t> Others;
-    for (std::size_t I = 0; I < m_Limits.size(); ++I)
-      if (I != Router && listed(I, Time))
-        Others.push_back(I);
-    if (m_ListedNames.size() > MaxDirectRouters) {
-      std::shuffle(Others.begin(), Others.end(), m_Rng);
-      Others.resize(std::min(Others.size(), NoticeFanOut));
-    }
-    for (const std::size_t Other : Others) {
+    const std::vector<std::string> Audience =
+        m_Limits[Router]->audience(m_HasNews[Router], m_Rng);
+    m_HasNews[Router] = false;
+    for (const std::string &Name : Audience) {
+      const std::size_t Other = std::stoul(Name.substr(NamePrefix.size()));
       if (!m_Limits[Other] || frozen(Other, Time) || !connected(Other, Time))
         continue;
       const auto Question = m_Limits[Router]->notice(at(Time));
       if (!m_Limits[Other]->merge(Question, at(Time), at(Time)).empty())
-        m_NextNotice[Other] = Time;
+        announce(Other, Time);
       const auto Reply = m_Limits[Other]->notice(at(Time));
       m_Limits[Router]->merge(Reply, at(Time), at(Time));
       m_Outcome.m_NoticeBytes += Question.ByteSizeLong() + Reply.ByteSizeLong();
@@ -188,6 +190,7 @@
   std::vector<EndpointId> m_Endpoints;
   std::vector<std::unique_ptr<decide::RequestLimits>> m_Limits;
   std::vector<double> m_NextNotice;
+  std::vector<bool> m_HasNews;
   std::vector<bool> m_Listed;
   std::vector<std::string> m_ListedNames;
   std::map<std::pair<std::size_t, std::string>, double> m_EvenNext;
--- a/packages/decide/request_limits.cpp
+++ b/packages/decide/request_limits.cpp
@@ -53,6 +53,11 @@
 constexpr Duration SpreadPassedOn = std::chrono::milliseconds(2500);
 constexpr std::size_t MaxDirectRouters = 8;
 
+// Routers up to which news is told to all, and those told in other rounds of a
+// fleet that is too large to tell all.
+constexpr std::size_t MaxRoutersToldNews = 16;
+constexpr std::size_t RoutersPerRound = 3;
+
 // A router that heard nobody for the first time uses the weight of an idle one;
 // the others count it as idle only after the second.
 constexpr Duration IsolatedAfter = std::chrono::milliseconds(2000);
@@ -408,6 +413,17 @@
              Rng));
 }
 
+std::vector<std::string> RequestLimits::audience(bool HasNews,
+                                                 Random &Rng) const {
+  std::vector<std::string> Others = m_Routers;
+  std::erase(Others, m_Self);
+  if (m_Routers.size() > (HasNews ? MaxRoutersToldNews : MaxDirectRouters)) {
+    std::shuffle(Others.begin(), Others.end(), Rng);
+    Others.resize(std::min(Others.size(), RoutersPerRound));
+  }
+  return Others;
+}
+
 schema::LimitNotice RequestLimits::notice(Instant Now) {
   schema::LimitNotice Notice;
   Notice.set_router(m_Self);
--- a/packages/decide/request_limits.h
+++ b/packages/decide/request_limits.h
@@ -98,6 +98,11 @@
   promiseReturn(const std::vector<EndpointId> &Endpoints, Instant Now,
                 Random &Rng);
 
+  /// The routers to tell in one round: all others in a small fleet, some drawn
+  /// at random in a larger one, which pass it on. \param HasNews whether a
+  /// limit was named, changed or ended since the last round.
+  std::vector<std::string> audience(bool HasNews, Random &Rng) const;
+
   /// What this router tells others.
   schema::LimitNotice notice(Instant Now);
 
--- a/packages/forward/limit_exchange.cpp
+++ b/packages/forward/limit_exchange.cpp
@@ -3,7 +3,6 @@
 #include "forward/sleep.h"
 #include "router/log.h"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -22,14 +21,6 @@
 // each answer.
 constexpr Duration MinRoundInterval = std::chrono::milliseconds(50);
 
-// Routers told in one round of a fleet that is too large to tell all.
-constexpr std::size_t RoutersPerRound = 3;
-
-// Up to this many routers, each round tells all; news goes to all of a fleet of
-// the second size.
-constexpr std::size_t MaxRoutersToldEach = 8;
-constexpr std::size_t MaxRoutersToldNews = 16;
-
 // Largest notice that is accepted.
 constexpr std::size_t MaxNoticeBytes = 1u << 20;
 
@@ -60,17 +51,8 @@
 }
 
 void LimitExchange::tellRouters() {
-  std::vector<std::string> Others;
-  for (const auto &[Name, Router] : m_State.m_RoutersByName)
-    if (Name != m_State.m_Settings.name())
-      Others.push_back(Name);
-  const std::size_t ToldAll =
-      m_HasNews ? MaxRoutersToldNews : MaxRoutersToldEach;
-  if (Others.size() >= ToldAll) {
-    std::shuffle(Others.begin(), Others.end(), m_State.m_Random);
-    Others.resize(RoutersPerRound);
-  }
-  for (std::string &Router : Others)
+  for (std::string &Router :
+       m_State.m_Limits.audience(m_HasNews, m_State.m_Random))
     asio::co_spawn(m_State.m_Io, tell(std::move(Router)), asio::detached);
 }
 
