--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -1,5 +1,6 @@
 #include "forward/forward_state.h"
 
+#include "decide/limited_service.h"
 #include "router/log.h"
 
 namespace mimosadale::forward {
@@ -77,30 +78,13 @@
   m_Metrics.setGauge("limited_endpoints", static_cast<double>(Limited.size()));
 }
 
-// A chain is sent requests through its first engine.
-std::vector<EndpointId>
-ForwardState::directEndpoints(const ServiceId &Service) {
-  std::vector<EndpointId> Endpoints;
-  if (const decide::ChainRouter *Chains = chainsOf(Service)) {
-    for (const decide::Chain &Chain : Chains->chains())
-      Endpoints.push_back(Chain.m_Stages.front().m_Endpoint);
-    return Endpoints;
-  }
-  for (const auto &[Id, Endpoint] : m_Fleet.all())
-    if (Endpoint.m_Record.m_Service == Service && Endpoint.usable())
-      Endpoints.push_back(Id);
-  return Endpoints;
-}
-
 std::vector<EndpointId> ForwardState::turnAway(const ServiceId &Service,
                                                Instant Now) {
   if (!m_Limits.active())
     return {};
-  std::vector<EndpointId> Endpoints = directEndpoints(Service);
-  std::erase_if(Endpoints, [&](const EndpointId &Id) {
-    const auto *Endpoint = m_Fleet.find(Id);
-    return !Endpoint || Endpoint->admits(Now);
-  });
+  std::vector<EndpointId> Endpoints = decide::endpointsWithoutRoom(
+      m_Fleet, decide::directEndpoints(m_Fleet, Service, chainsOf(Service)),
+      Now);
   for (const EndpointId &Id : Endpoints)
     m_Limits.onTurnedAway(Id, Now);
   if (!Endpoints.empty())
@@ -111,12 +95,9 @@
 bool ForwardState::onlyLimitsRefuse(const ServiceId &Service,
                                     const decide::EndpointSet &Avoided,
                                     Instant Now) {
-  for (const EndpointId &Id : directEndpoints(Service)) {
-    const auto *Endpoint = m_Fleet.find(Id);
-    if (Endpoint && Endpoint->admits(Now) && !Avoided.contains(Id))
-      return false;
-  }
-  return true;
+  return decide::onlyLimitsRefuse(
+      m_Fleet, decide::directEndpoints(m_Fleet, Service, chainsOf(Service)),
+      Avoided, Now);
 }
 
 void ForwardState::onLimitChange(const EndpointId &Endpoint,
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -151,8 +151,6 @@
   std::vector<EndpointId> m_OrderedEngines;
 
 private:
-  std::vector<EndpointId> directEndpoints(const ServiceId &Service);
-
   struct ChainCache {
     decide::ChainRouter m_Router;
     // What the chains were built from.
--- a/tests/unit/request_limits_test.cpp
+++ b/tests/unit/request_limits_test.cpp
@@ -1,5 +1,5 @@
 // Many routers that keep the limits of endpoints together, on virtual time.
-#include "decide/chain_router.h"
+#include "decide/limited_service.h"
 #include "decide/plain_router.h"
 #include "decide/request_limits.h"
 #include "support/limit_simulation.h"
@@ -342,6 +342,8 @@
     CHECK(chosen(T0) == "dc20");
   Endpoints.onAdmission(EndpointId("dc20"), T0 + 2s);
   CHECK(chosen(T0).empty());
+  CHECK(onlyLimitsRefuse(
+      Endpoints, directEndpoints(Endpoints, tests::Llm, &Chains), {}, T0));
   CHECK(chosen(T0 + 1s) == "dc0");
 
   Fleet Plain;
@@ -353,6 +355,12 @@
     Plain.put(Record, T0);
   }
   Plain.onAdmission(EndpointId("a"), T0 + 1s);
+  const auto Direct = directEndpoints(Plain, ServiceId("s"), nullptr);
+  CHECK(Direct.size() == 2);
+  CHECK(endpointsWithoutRoom(Plain, Direct, T0) ==
+        std::vector{EndpointId("a")});
+  CHECK_FALSE(onlyLimitsRefuse(Plain, Direct, {}, T0));
+  CHECK(onlyLimitsRefuse(Plain, Direct, {EndpointId("b")}, T0));
   for (int I = 0; I < 20; ++I)
     CHECK(choosePlainEndpoint(Plain, ServiceId("s"), DataCentreId("dc"), {}, T0,
                               Rng)
