--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -45,6 +45,11 @@
 
 } // namespace
 
+struct FakePlatform::StoreCopy {
+  Tables m_Tables;
+  std::uint64_t m_Version = 0;
+};
+
 FakePlatform::FakePlatform() {
   const std::lock_guard Lock(m_Mutex);
   for (Listener &StoreListener : m_Listeners)
@@ -342,6 +347,16 @@
                  ? readTable(Request.m_Target)
                  : transact(Request.m_Body);
   }
+  co_await respondFromStore(Exchange, std::move(Answer));
+}
+
+FakePlatform::Task FakePlatform::respondFromStore(net::HttpExchange &Exchange,
+                                                  net::HttpResponse Answer) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    if (m_Era > 0)
+      Answer.m_Headers.push_back({platform::EraHeader, std::to_string(m_Era)});
+  }
   co_await Exchange.respond(std::move(Answer));
 }
 
@@ -358,6 +373,24 @@
                           {"NowMs", 1000}});
 }
 
+std::shared_ptr<const FakePlatform::StoreCopy> FakePlatform::copyStore() {
+  const std::lock_guard Lock(m_Mutex);
+  return std::make_shared<const StoreCopy>(StoreCopy{m_Tables, m_Version});
+}
+
+void FakePlatform::restoreStore(const std::shared_ptr<const StoreCopy> &Copy) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Tables = Copy->m_Tables;
+  m_Version = Copy->m_Version;
+  m_Era += m_Era > 0 ? 1 : 0;
+  ++m_RestoreCount;
+}
+
+void FakePlatform::setEra(std::uint64_t Era) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Era = Era;
+}
+
 void FakePlatform::setStoreMode(StoreMode Mode, std::size_t Index) {
   const std::lock_guard Lock(m_Mutex);
   m_Listeners[Index].m_StaleVersion = m_Version;
@@ -372,11 +405,21 @@
   const auto Deadline =
       std::chrono::steady_clock::now() +
       std::chrono::milliseconds(std::stoul(parameter(Target, "WaitMs")));
+  const unsigned RestoreCount = m_RestoreCount;
+  bool HistoryGone = false;
   json::array Rows;
   std::uint64_t Version = 0;
   while (true) {
+    if (m_RestoreCount != RestoreCount) {
+      Exchange.abort();
+      co_return;
+    }
     {
       const std::lock_guard Lock(m_Mutex);
+      if (After > m_Version) {
+        HistoryGone = true;
+        break;
+      }
       for (const auto &[Key, Entry] : m_Tables[Table])
         if (Entry.m_Version > After)
           Rows.push_back(rowJson(Table, Key, Entry));
@@ -394,7 +437,9 @@
   }
   net::HttpResponse Answer =
       jsonAnswer(200, {{"Rows", Rows}, {"Ver", Version}, {"NowMs", 1000}});
-  co_await Exchange.respond(std::move(Answer));
+  if (HistoryGone)
+    Answer = {410, {}, ""};
+  co_await respondFromStore(Exchange, std::move(Answer));
 }
 
 net::HttpResponse FakePlatform::transact(const std::string &Body) {
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -101,6 +101,16 @@
   /// connection without an answer.
   void dropAnswers(const std::string &Id, int Count);
   void setStoreMode(StoreMode Mode, std::size_t Index = 0);
+
+  /// The content of the store at one moment.
+  struct StoreCopy;
+  std::shared_ptr<const StoreCopy> copyStore();
+  /// Replaces the store's content by an older copy, as a new era: its version
+  /// goes back, and the same numbers are given out again. Waiting feeds end
+  /// without an answer.
+  void restoreStore(const std::shared_ptr<const StoreCopy> &Copy);
+  /// The era that all answers of the store state; 0: they state none.
+  void setEra(std::uint64_t Era);
   void setEventInterval(std::chrono::milliseconds Interval) {
     m_EventInterval = Interval;
   }
@@ -124,6 +134,7 @@
     std::uint64_t m_Version = 0;
     bool m_Deleted = false;
   };
+  using Tables = std::map<std::string, std::map<std::string, Row>>;
   struct Endpoint {
     std::string m_Id;
     std::string m_Service;
@@ -166,6 +177,7 @@
   void publishEntry(const Endpoint &Instance);
   Task handleStore(Listener &StoreListener, net::HttpExchange &Exchange);
   Task serveFeed(Listener &StoreListener, net::HttpExchange &Exchange);
+  Task respondFromStore(net::HttpExchange &Exchange, net::HttpResponse Answer);
   net::HttpResponse readTable(const std::string &Target);
   net::HttpResponse transact(const std::string &Body);
   boost::json::object rowJson(const std::string &Table, const std::string &Key,
@@ -198,8 +210,10 @@
 
   boost::asio::io_context m_Io{1};
   std::recursive_mutex m_Mutex; // guards the members below that are not atomic
-  std::map<std::string, std::map<std::string, Row>> m_Tables;
+  Tables m_Tables;
   std::uint64_t m_Version = 0;
+  std::uint64_t m_Era = 0; // 0: not stated
+  std::atomic<unsigned> m_RestoreCount = 0;
   std::map<std::string, std::unique_ptr<Endpoint>> m_Endpoints;
   std::map<std::string, int> m_RunCounts;
   std::map<std::string, std::vector<std::string>> m_LastPaths;
--- /dev/null
+++ b/tests/process/forward_restore_test.cpp
@@ -0,0 +1,346 @@
+// A store that comes back from an older copy: what callers and endpoints see of
+// a router's configuration and of endpoints that leave.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "platform/forward_helpers.h"
+
+#include <algorithm>
+#include <atomic>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace mimosadale;
+using namespace mimosadale::tests;
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+// The users' bounds: a configuration is in force this long after it was
+// acknowledged, and a leaving endpoint gets no more requests this long after
+// its leaving was.
+constexpr auto ConfigBound = 2s;
+constexpr auto DrainBound = 2s;
+
+// Writes between a copy and the loss of the store: more than are made after it,
+// so that the versions given out again stay below those known before.
+constexpr int LostWrites = 60;
+
+// Time after the store's return within which the operator and the endpoints
+// have written again what was lost.
+constexpr auto RewriteDelay = 300ms;
+
+unsigned lookStatus(const ForwardRouter &Router, const std::string &Key,
+                    const std::string &Target = "/look/a") {
+  return harness::sendRequest("GET", Router.callerAddress(), Target,
+                              requestHeaders("look", Key))
+      .m_Status;
+}
+
+void writeUnrelatedRows(FakePlatform &Platform) {
+  for (int I = 0; I < LostWrites; ++I)
+    Platform.put("other", "row" + std::to_string(I), "raises the version");
+}
+
+// The store is away for \p Time and comes back with the content of \p Copy.
+void restoreAfter(FakePlatform &Platform,
+                  const std::shared_ptr<const FakePlatform::StoreCopy> &Copy,
+                  StoreMode Mode = StoreMode::Unavailable,
+                  std::chrono::milliseconds Time = 700ms) {
+  Platform.setStoreMode(Mode);
+  std::this_thread::sleep_for(Time);
+  Platform.restoreStore(Copy);
+  Platform.setStoreMode(StoreMode::Available);
+}
+
+boost::json::object addedRoute() {
+  return {{"Name", "added"},     {"Host", harness::loopbackIp()},
+          {"Prefix", "/added/"}, {"RouteType", "idempotent"},
+          {"TimeoutMs", 2000},   {"Service", "booking"},
+          {"MaxAttempts", 2}};
+}
+
+// Callers that send lookups with one key to a router until destroyed.
+class Callers {
+public:
+  Callers(const ForwardRouter &Router, std::string Key)
+      : m_Thread(
+            [this, Address = Router.callerAddress(), Key = std::move(Key)] {
+              while (!m_Stop) {
+                const auto Answer = harness::sendRequest(
+                    "GET", Address, "/look/a",
+                    requestHeaders("c" + std::to_string(++m_Sent), Key));
+                ++(Answer.m_Status == 200 ? m_Served : m_NotServed);
+                std::this_thread::sleep_for(10ms);
+              }
+            }) {}
+  ~Callers() { stop(); }
+
+  void stop() {
+    m_Stop = true;
+    if (m_Thread.joinable())
+      m_Thread.join();
+  }
+
+  std::atomic<int> m_Sent = 0;
+  std::atomic<int> m_Served = 0;
+  std::atomic<int> m_NotServed = 0;
+
+private:
+  std::atomic<bool> m_Stop = false;
+  std::thread m_Thread;
+};
+
+// Two routers that know each other, before a store that states its era.
+struct TwoRouters {
+  explicit TwoRouters(std::size_t SecondListener = 0) {
+    Platform.setEra(1);
+    addDefaultEndpoints(Platform);
+    R1 = std::make_unique<ForwardRouter>(Platform, "r1");
+    R2 = std::make_unique<ForwardRouter>(Platform, "r2", LargeRetryBudget,
+                                         SecondListener);
+    for (ForwardRouter *Router : {R1.get(), R2.get()}) {
+      waitUntilServing(*Router);
+      REQUIRE(
+          harness::waitUntil([&] { return knownRouterCount(*Router) == 2; }));
+    }
+  }
+
+  FakePlatform Platform;
+  std::unique_ptr<ForwardRouter> R1;
+  std::unique_ptr<ForwardRouter> R2;
+};
+
+// Whether \p Condition holds at both routers within \p Bound.
+bool holdsAtBoth(const TwoRouters &Fleet, std::chrono::milliseconds Bound,
+                 const std::function<bool(const ForwardRouter &)> &Condition) {
+  return harness::waitUntil(
+      [&] { return Condition(*Fleet.R1) && Condition(*Fleet.R2); }, Bound);
+}
+
+} // namespace
+
+// Guards against routers that refuse everything that a restored store says
+// until its versions pass the number known before: a change of configuration is
+// then not in force in time, and the store's rows are never read again.
+TEST_CASE("the store comes back from an older copy: configurations written "
+          "after that are in force in time, and none goes back") {
+  StoreMode Mode = StoreMode::Unavailable;
+  SUBCASE("it refused calls meanwhile") {}
+  SUBCASE("it did not answer meanwhile") { Mode = StoreMode::Unresponsive; }
+  CAPTURE(static_cast<int>(Mode));
+  TwoRouters Fleet;
+  FakePlatform &Platform = Fleet.Platform;
+  const auto Copy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  Platform.setKeys({"fresh"});
+  Platform.configure(5);
+  REQUIRE(holdsAtBoth(Fleet, ConfigBound, [](const ForwardRouter &Router) {
+    return lookStatus(Router, "key") == 401 &&
+           lookStatus(Router, "fresh") == 200;
+  }));
+  Callers First(*Fleet.R1, "fresh");
+  Callers Second(*Fleet.R2, "fresh");
+  restoreAfter(Platform, Copy, Mode);
+  // The withdrawn key stays withdrawn while the copy still has it.
+  const auto End = Clock::now() + 1500ms;
+  while (Clock::now() < End) {
+    CHECK(lookStatus(*Fleet.R1, "key") == 401);
+    CHECK(lookStatus(*Fleet.R2, "key") == 401);
+    std::this_thread::sleep_for(20ms);
+  }
+  Platform.configure(5); // the operator writes again what was lost
+  std::this_thread::sleep_for(RewriteDelay);
+  Platform.addRoute(addedRoute());
+  Platform.configure(7);
+  const bool InForce =
+      holdsAtBoth(Fleet, ConfigBound, [](const ForwardRouter &Router) {
+        return lookStatus(Router, "fresh", "/added/a") == 200;
+      });
+  Platform.setKeys({"newest"});
+  Platform.configure(8);
+  const bool KeyWithdrawn =
+      holdsAtBoth(Fleet, ConfigBound, [](const ForwardRouter &Router) {
+        return lookStatus(Router, "fresh") == 401;
+      });
+  First.stop();
+  Second.stop();
+  CAPTURE(Fleet.R1->log());
+  CHECK(InForce);
+  CHECK(KeyWithdrawn);
+  CHECK(First.m_Served > 50);
+}
+
+// Guards against routers that see no endpoint leave after the store came back
+// from an older copy.
+TEST_CASE("the store comes back from an older copy: an endpoint that then "
+          "reports that it leaves gets no more requests in time") {
+  TwoRouters Fleet;
+  FakePlatform &Platform = Fleet.Platform;
+  const auto Copy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  std::this_thread::sleep_for(1s);
+  restoreAfter(Platform, Copy);
+  std::this_thread::sleep_for(RewriteDelay);
+  bool ByDeletion = false;
+  SUBCASE("it is marked as draining") {}
+  SUBCASE("its entry is removed") { ByDeletion = true; }
+  CAPTURE(ByDeletion);
+  ByDeletion ? Platform.deleteEntry("b1") : Platform.drain("b1");
+  std::this_thread::sleep_for(DrainBound);
+  const int ReceivedBefore = Platform.receivedRequests("b1");
+  for (int I = 0; I < 12; ++I) {
+    CHECK(lookStatus(*Fleet.R1, "key") == 200);
+    CHECK(lookStatus(*Fleet.R2, "key") == 200);
+  }
+  CAPTURE(Fleet.R1->log());
+  CHECK(Platform.receivedRequests("b1") == ReceivedBefore);
+}
+
+// Guards against an endpoint whose leaving was acknowledged being used again
+// because the copy still lists it as ready.
+TEST_CASE("an endpoint left, and the store comes back from a copy that lists "
+          "it as ready: it gets no requests") {
+  TwoRouters Fleet;
+  FakePlatform &Platform = Fleet.Platform;
+  const auto Copy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  bool ByDeletion = false;
+  SUBCASE("it is marked as draining") {}
+  SUBCASE("its entry is removed") { ByDeletion = true; }
+  CAPTURE(ByDeletion);
+  ByDeletion ? Platform.deleteEntry("b1") : Platform.drain("b1");
+  std::this_thread::sleep_for(DrainBound);
+  const int ReceivedBefore = Platform.receivedRequests("b1");
+  restoreAfter(Platform, Copy);
+  const auto End = Clock::now() + 3s;
+  bool Rewritten = false;
+  while (Clock::now() < End) {
+    CHECK(lookStatus(*Fleet.R1, "key") == 200);
+    CHECK(lookStatus(*Fleet.R2, "key") == 200);
+    if (!Rewritten && Clock::now() + 1s > End) {
+      // What was lost is written again.
+      ByDeletion ? Platform.deleteEntry("b1") : Platform.drain("b1");
+      Rewritten = true;
+    }
+  }
+  std::this_thread::sleep_for(3s);
+  CHECK(lookStatus(*Fleet.R1, "key") == 200);
+  CHECK(lookStatus(*Fleet.R2, "key") == 200);
+  CAPTURE(Fleet.R1->log());
+  CHECK(Platform.receivedRequests("b1") == ReceivedBefore);
+}
+
+// Guards against sound endpoints being dropped while their entries are away,
+// and against a missing one being kept for good.
+TEST_CASE("the store comes back from a copy that lacks endpoints: they are "
+          "used until their entries are due, and after that only if listed") {
+  TwoRouters Fleet;
+  FakePlatform &Platform = Fleet.Platform;
+  const auto Copy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  Platform.addService("b3", "booking");
+  Platform.addService("b4", "booking");
+  Platform.drain("b1");
+  Platform.drain("b2");
+  REQUIRE(holdsAtBoth(Fleet, 3s, [&](const ForwardRouter &Router) {
+    const int Before = Platform.receivedRequests("b3");
+    return lookStatus(Router, "key") == 200 &&
+           (Platform.receivedRequests("b3") > Before ||
+            Platform.receivedRequests("b4") > 0);
+  }));
+  std::this_thread::sleep_for(DrainBound);
+  Callers First(*Fleet.R1, "key");
+  Callers Second(*Fleet.R2, "key");
+  restoreAfter(Platform, Copy);
+  std::this_thread::sleep_for(1500ms);
+  Platform.republishEntry("b3"); // in time; the entry of b4 stays away
+  Platform.drain("b1");
+  Platform.drain("b2");
+  std::this_thread::sleep_for(4s);
+  const int ReceivedBefore = Platform.receivedRequests("b4");
+  std::this_thread::sleep_for(500ms);
+  First.stop();
+  Second.stop();
+  CAPTURE(Fleet.R1->log());
+  CHECK(First.m_NotServed == 0);
+  CHECK(Second.m_NotServed == 0);
+  CHECK(Platform.receivedRequests("b4") == ReceivedBefore);
+  CHECK(Platform.receivedRequests("b3") > 0);
+}
+
+// Guards against an answer of the older era overwriting one of the newer, from
+// whichever side it comes.
+TEST_CASE("a router is cut off from the store while it is restored twice, and "
+          "versions are given out again: it follows the newest era") {
+  TwoRouters Fleet(1);
+  FakePlatform &Platform = Fleet.Platform;
+  const auto FirstCopy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  Platform.setKeys({"fresh"});
+  Platform.configure(5);
+  REQUIRE(holdsAtBoth(Fleet, ConfigBound, [](const ForwardRouter &Router) {
+    return lookStatus(Router, "fresh") == 200;
+  }));
+  const auto SecondCopy = Platform.copyStore();
+  Platform.setStoreMode(StoreMode::Unavailable, 1); // r2 alone
+  restoreAfter(Platform, FirstCopy);
+  writeUnrelatedRows(Platform); // the same numbers, other rows
+  std::this_thread::sleep_for(500ms);
+  restoreAfter(Platform, SecondCopy);
+  std::this_thread::sleep_for(RewriteDelay);
+  Platform.addRoute(addedRoute());
+  Platform.configure(6);
+  Platform.drain("b1");
+  const bool InForce =
+      holdsAtBoth(Fleet, ConfigBound, [](const ForwardRouter &Router) {
+        return lookStatus(Router, "fresh", "/added/a") == 200;
+      });
+  Platform.setStoreMode(StoreMode::Available, 1);
+  std::this_thread::sleep_for(DrainBound);
+  const int ReceivedBefore = Platform.receivedRequests("b1");
+  for (int I = 0; I < 30; ++I) {
+    CHECK(lookStatus(*Fleet.R1, "fresh", "/added/a") == 200);
+    CHECK(lookStatus(*Fleet.R2, "fresh", "/added/a") == 200);
+    std::this_thread::sleep_for(20ms);
+  }
+  CAPTURE(Fleet.R2->log());
+  CHECK(InForce);
+  CHECK(Platform.receivedRequests("b1") == ReceivedBefore);
+}
+
+// Guards against engines that refuse all orders for layers because the fencing
+// numbers of a restored store are lower than those seen before.
+TEST_CASE("the store comes back from an older copy: a lost engine's layers are "
+          "still assigned to others") {
+  TwoRouters Fleet;
+  FakePlatform &Platform = Fleet.Platform;
+  const auto Copy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  // Orders after these writes carry fencing numbers above those of the copy.
+  Platform.deleteEntry("kumamoto2");
+  REQUIRE(harness::waitUntil([&] {
+    const auto First = Platform.layers("kumamoto0");
+    const auto Second = Platform.layers("kumamoto1");
+    return First.m_End - First.m_First + Second.m_End - Second.m_First >= 12;
+  }));
+  std::this_thread::sleep_for(3s); // until the lease has expired
+  restoreAfter(Platform, Copy);
+  Platform.deleteEntry("kumamoto2");
+  for (const char *Engine :
+       {"kumamoto0", "kumamoto1", "fukuoka0", "fukuoka1", "fukuoka2"})
+    Platform.republishEntry(Engine);
+  std::this_thread::sleep_for(RewriteDelay);
+  Platform.deleteEntry("fukuoka2");
+  const bool Assigned = harness::waitUntil(
+      [&] {
+        const auto First = Platform.layers("fukuoka0");
+        const auto Second = Platform.layers("fukuoka1");
+        return First.m_End - First.m_First + Second.m_End - Second.m_First >=
+               12;
+      },
+      15s);
+  CAPTURE(Fleet.R1->log());
+  CAPTURE(Fleet.R2->log());
+  CHECK(Assigned);
+  CHECK(Platform.violations().empty());
+}
