--- a/packages/decide/order_lease.cpp
+++ b/packages/decide/order_lease.cpp
@@ -29,8 +29,8 @@
 
 } // namespace
 
-FencingToken fencingToken(StoreVersion Version) {
-  return FencingToken((raw(Version.era()) << EraShift) + Version.wireNumber());
+OrderFence orderFence(StoreVersion Version) {
+  return OrderFence((raw(Version.era()) << EraShift) + Version.wireNumber());
 }
 
 bool OrderLease::shouldReadRow(Instant Now) const {
@@ -68,7 +68,7 @@
     onFailed(Now);
     return false;
   }
-  m_Fence = fencingToken(Version);
+  m_Fence = orderFence(Version);
   m_HeldUntil = m_PendingUntil;
   return true;
 }
@@ -80,7 +80,7 @@
   m_NextReadAt = Now + LeaseDuration;
 }
 
-std::optional<FencingToken> OrderLease::fence(Instant Now) const {
+std::optional<OrderFence> OrderLease::fence(Instant Now) const {
   if (!m_Fence || Now + StopMargin >= m_HeldUntil)
     return std::nullopt;
   return m_Fence;
--- a/packages/decide/order_lease.h
+++ b/packages/decide/order_lease.h
@@ -13,11 +13,11 @@
 
 /// Number of a lease, carried by the orders given under it. An engine refuses
 /// one that is lower than another that it has seen.
-enum class FencingToken : std::uint64_t {};
+enum class OrderFence : std::uint64_t {};
 
 /// The fencing token of a lease whose row has \p Version: higher than those of
 /// all earlier eras. Safe from any thread.
-FencingToken fencingToken(StoreVersion Version);
+OrderFence orderFence(StoreVersion Version);
 
 /// The lease row as read from the store.
 struct LeaseRow {
@@ -73,11 +73,11 @@
 
   /// The fencing token for an order sent now; none if the lease is not held or
   /// is about to expire.
-  std::optional<FencingToken> fence(Instant Now) const;
+  std::optional<OrderFence> fence(Instant Now) const;
 
 private:
   PeerId m_Self;
-  std::optional<FencingToken> m_Fence;
+  std::optional<OrderFence> m_Fence;
   std::optional<StoreEra> m_Era; // latest one known
   StoreEra m_ReadEra{};          // of the row read last
   Instant m_HeldUntil{};         // expiry of the lease held
--- a/packages/forward/layer_control.cpp
+++ b/packages/forward/layer_control.cpp
@@ -122,11 +122,10 @@
                                        Value, Write->m_ExpectedVersion);
     if (Result.m_Kind == platform::WriteResult::Kind::Applied) {
       if (m_Lease.onWritten(Result.m_Version, ForwardState::now()))
-        router::logEvent(
-            schema::INFO, "order_lease_taken",
-            {{"fence",
-              std::to_string(raw(decide::fencingToken(Result.m_Version)))},
-             {"before", Row.m_Holder.str()}});
+        router::logEvent(schema::INFO, "order_lease_taken",
+                         {{"fence", std::to_string(raw(
+                                        decide::orderFence(Result.m_Version)))},
+                          {"before", Row.m_Holder.str()}});
       co_return;
     }
     m_Lease.onFailed(ForwardState::now());
@@ -138,7 +137,7 @@
 }
 
 asio::awaitable<void> LayerControl::sendOrder(decide::LayerOrder Order,
-                                              decide::FencingToken Fence) {
+                                              decide::OrderFence Fence) {
   net::HttpRequest Request;
   Request.m_Method = "POST";
   Request.m_Target = platform::OrderPath;
--- a/packages/forward/layer_control.h
+++ b/packages/forward/layer_control.h
@@ -26,7 +26,7 @@
   boost::asio::awaitable<void> tick();
   boost::asio::awaitable<void> acquireLease();
   boost::asio::awaitable<void> sendOrder(decide::LayerOrder Order,
-                                         decide::FencingToken Fence);
+                                         decide::OrderFence Fence);
   const decide::ServiceInfo *engineService() const;
   Duration leaseBackoff();
 
--- a/tests/unit/layer_orders_test.cpp
+++ b/tests/unit/layer_orders_test.cpp
@@ -197,7 +197,7 @@
   CHECK(Write->m_ExpectedVersion.isZero());
   CHECK_FALSE(First.fence(T0 + 20ms));
   CHECK(First.onWritten(numbered(7), T0));
-  CHECK(First.fence(T0 + 20ms) == FencingToken(7));
+  CHECK(First.fence(T0 + 20ms) == OrderFence(7));
   const LeaseRow Row{numbered(7), PeerId("first"), Write->m_UntilMs};
   CHECK_FALSE(Second.onRowRead(Row, 10500, T0 + 500ms, T0 + 500ms));
   CHECK_FALSE(Second.shouldReadRow(T0 + 600ms));
@@ -209,7 +209,7 @@
   REQUIRE(Takeover);
   CHECK(Takeover->m_ExpectedVersion == numbered(7));
   CHECK(Second.onWritten(numbered(9), T0 + 3100ms));
-  CHECK(Second.fence(T0 + 3100ms) == FencingToken(9));
+  CHECK(Second.fence(T0 + 3100ms) == OrderFence(9));
   Second.onFenced(T0 + 3200ms);
   CHECK_FALSE(Second.fence(T0 + 3200ms));
 }
