--- a/tests/process/forward_endless_test.cpp
+++ b/tests/process/forward_endless_test.cpp
@@ -209,7 +209,8 @@
         run([&](net::HttpClient &Client) -> boost::asio::awaitable<void> {
           platform::StoreClient Store(Client,
                                       net::parseAddress(Endless.address()), 1s);
-          co_await Store.readChanges("servers", 1, 500ms, 500ms);
+          const decide::StoreVersion After({}, 1);
+          co_await Store.readChanges("servers", After, 500ms, 500ms);
         });
     CHECK(Outcome.m_Failed);
     CHECK(Outcome.m_Elapsed < 3s);
