Find the prompt part that crashes engines, and stop sending it

What callers saw: requests of one kind crashed engine after engine, and sound requests of the same callers were not served.

Cause: faults were taken for faults of engines. A request whose engine crashed was sent to the next chain, and nothing remembered what crashed engines had in common.

Change: decide/crash_suspects blocks a part after two crashes that no later answer disproves; routers tell each other; suspects are sent one at a time; a repeat of a request that may be deadly waits until it is known whether the engine crashed.

--- a/packages/base/id.h
+++ b/packages/base/id.h
@@ -40,6 +40,7 @@
 using ServiceId = Id<struct ServiceTag>;
 using DataCentreId = Id<struct DataCentreTag>;
 using AttemptId = Id<struct AttemptTag>;
+using PromptPartId = Id<struct PromptPartTag>;
 
 } // namespace mimosadale
 
--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -113,6 +113,14 @@
       m_RunTracker, Reason, "no endpoint can take it now", RetryAfter)};
 }
 
+ForwardAction ForwardRun::onBlocked(Duration RetryAfter) const {
+  if (m_HeadDelivered)
+    return CutOff{schema::PROMPT_BLOCKED};
+  return RefuseForward{Refusal::forRun(
+      m_RunTracker, schema::PROMPT_BLOCKED,
+      "a part of the prompt crashes the engines that answer it", RetryAfter)};
+}
+
 ForwardAction ForwardRun::onTimeout() const {
   if (m_HeadDelivered)
     return CutOff{schema::DEADLINE_PASSED};
--- a/packages/decide/forward_run.h
+++ b/packages/decide/forward_run.h
@@ -91,6 +91,10 @@
   ForwardAction onNoEndpoint(schema::Reason Reason, Duration RetryAfter,
                              Instant Now);
 
+  /// The request must not be sent: a part of its prompt crashes engines.
+  /// \param RetryAfter when this may have changed.
+  ForwardAction onBlocked(Duration RetryAfter) const;
+
   /// A new search for an endpoint starts: those that refused before may have
   /// free capacity now.
   void onAwaitEndpoint() { m_Avoided.clear(); }
--- a/packages/forward/engine_watch.cpp
+++ b/packages/forward/engine_watch.cpp
@@ -29,6 +29,10 @@
 // fault and would clear the suspicion too early.
 constexpr Duration SuspectRecheckDelay = std::chrono::milliseconds(700);
 
+// Time within which it is found out whether an engine whose connections broke
+// has crashed: many polls.
+constexpr Duration BrokenCheckTimeout = std::chrono::seconds(2);
+
 // Connections to endpoints that were idle for longer are closed.
 constexpr Duration MaxIdleTime = std::chrono::seconds(10);
 
@@ -51,6 +55,8 @@
   m_State.updateAdmissions(Now);
   pollOverdue(Now);
   pollRefusing(Now);
+  pollBroken(Now);
+  m_State.m_Suspects.onTick(Now);
   pollOrdered(Now);
   pollSuspects(Now);
   pollLoads(Now);
@@ -77,6 +83,15 @@
     pollIfDue(Engine, ReportReason::AwaitedFirst, Now);
 }
 
+// Polls engines whose connections broke, to find out whether they crashed.
+void EngineWatch::pollBroken(Instant Now) {
+  std::erase_if(m_State.m_BrokenAt, [&](const auto &Item) {
+    return Now - Item.second.m_At > BrokenCheckTimeout;
+  });
+  for (const auto &[Engine, Broken] : m_State.m_BrokenAt)
+    pollIfDue(Engine, ReportReason::AwaitedFirst, Now);
+}
+
 // Polls engines that execute orders of this router for the progress of the
 // orders.
 void EngineWatch::pollOrdered(Instant Now) {
@@ -156,6 +171,7 @@
   try {
     const net::HttpResponse Response =
         co_await callEngine(m_State, Endpoint, Request, ReportTimeout);
+    m_State.onResponded(Endpoint);
     if (Response.m_Status == 200)
       onReport(Endpoint, platform::decodeEngineReport(Response.m_Body));
     else if (IsPlain && Response.m_Status != 421)
@@ -165,6 +181,9 @@
       Fault = "report: status " + std::to_string(Response.m_Status);
   } catch (const net::OversizeError &Ex) {
     m_State.onOversizeAnswer(Endpoint, std::string("report: ") + Ex.what());
+  } catch (const net::NetError &Ex) {
+    m_State.onNoResponse(Endpoint);
+    Fault = std::string("report: ") + Ex.what();
   } catch (const std::exception &Ex) {
     // Any exception: a poll that never ended would exclude the engine from
     // polling.
--- a/packages/forward/engine_watch.h
+++ b/packages/forward/engine_watch.h
@@ -27,6 +27,7 @@
   void pollOverdue(Instant Now);
   void pollOrdered(Instant Now);
   void pollRefusing(Instant Now);
+  void pollBroken(Instant Now);
   void pollSuspects(Instant Now);
   void pollLoads(Instant Now);
   void pollForPeers(Instant Now);
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -30,6 +30,7 @@
   m_Target = To;
   m_AbortReason = AbortReason::None;
   m_EventSeen = false;
+  m_AnswerBegun = false;
   m_RepairInProgress = false;
   m_RepairCount = 0;
   m_UnfitEngines.clear();
@@ -49,6 +50,8 @@
     } else if (Ex.phase() == net::Phase::Connect) {
       if (m_AbortReason == AbortReason::None ||
           m_AbortReason == AbortReason::EngineLost) {
+        if (m_AbortReason == AbortReason::None && !Ex.timedOut())
+          m_State.onNoResponse(m_Target.m_Endpoint);
         m_State.suspect(m_Target.m_Endpoint, "connect: " + Detail);
         Step = onFault(AttemptFault::NotSent, {m_Target.m_Endpoint});
       } else {
@@ -61,6 +64,10 @@
     } else {
       if (dynamic_cast<const net::OversizeError *>(&Ex))
         m_State.onOversizeAnswer(m_Target.m_Endpoint, Detail);
+      else if (Ex.phase() == net::Phase::Read && !m_AnswerBegun)
+        m_State.onBrokenBeforeAnswer(m_Target.m_Endpoint,
+                                     m_RequestHeaders.m_SharedParts,
+                                     m_AttemptStartedAt);
       Step = onFault(AttemptFault::Broken, {m_Target.m_Endpoint});
     }
   }
@@ -306,12 +313,15 @@
       m_State.m_Metrics.recordDuration(router::Timing::FirstToken,
                                        m_LastProgressAt - m_ArrivedAt);
     }
+    if (m_EventSeen)
+      onAnswerBegun();
     m_EventSeen = true;
     ++m_EventCount;
     co_await writeToCaller(m_Exchange.write(std::move(Complete)));
   }
   if (std::string Remainder = m_Splitter.takeRemainder(); !Remainder.empty())
     co_await writeToCaller(m_Exchange.write(std::move(Remainder)));
+  onAnswerBegun();
   co_await writeToCaller(m_Exchange.finish());
   if (m_RequestHeaders.m_Size && m_RequestHeaders.m_LastEventId.empty())
     m_State.m_StreamTimes.onEnded(m_RequestHeaders.m_Size->m_ExpectedAnswer,
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -21,6 +21,12 @@
 // another router.
 constexpr Duration RetryAfterAtDrain = std::chrono::milliseconds(50);
 
+// Longest wait for the outcome of another request with a suspected prompt part:
+// that of an answer's beginning. Checked at the interval below.
+constexpr Duration MaxPromptTurnWait = std::chrono::milliseconds(400);
+constexpr Duration PromptTurnCheckInterval = std::chrono::milliseconds(20);
+constexpr Duration BrokenCheckInterval = std::chrono::milliseconds(5);
+
 // Interval between two searches for a chain that can resume a stream: a
 // fraction of the shortest stall that triggers an action.
 constexpr Duration ChainCheckInterval = std::chrono::milliseconds(50);
@@ -118,14 +124,19 @@
   m_State.retryBudgetOf(m_Service).onFirstAttempt(m_ArrivedAt);
   bool NeedsAttempt = true;
   while (NeedsAttempt) {
-    std::optional<Target> NextTarget = chooseTarget();
-    std::optional<ForwardAction> Step;
-    if (NextTarget) {
+    std::optional<ForwardAction> Step = co_await awaitPromptTurn();
+    std::optional<Target> NextTarget;
+    if (!Step)
+      NextTarget = chooseTarget();
+    if (Step) {
+      // It is not sent.
+    } else if (NextTarget) {
       Target Chosen = std::move(*NextTarget);
       Step = co_await attempt(std::move(Chosen));
     } else {
       Step = onNoTarget();
     }
+    m_PromptTurn.reset();
     if (!Step)
       co_return; // the answer was sent
     if (std::holds_alternative<decide::AwaitEndpoint>(*Step) &&
@@ -141,6 +152,46 @@
   }
 }
 
+// A request whose connection broke before its answer had begun waits until it
+// is known whether the engine crashed, unless its prompt parts are known to be
+// sound. One with a suspected part waits while another one with that part is
+// being sent, whose outcome decides for both. \returns the next step if the
+// request must not be sent now.
+asio::awaitable<std::optional<ForwardAction>> ForwardCall::awaitPromptTurn() {
+  const decide::CrashSuspects::Parts &Parts = m_RequestHeaders.m_SharedParts;
+  const Instant GiveUpAt = ForwardState::now() + MaxPromptTurnWait;
+  while (m_State.m_BrokenAt.contains(m_Target.m_Endpoint) &&
+         !m_State.m_Suspects.allCleared(Parts) && !m_CallerGone &&
+         ForwardState::now() < GiveUpAt)
+    co_await sleepFor(m_State.m_Io, BrokenCheckInterval);
+  while (true) {
+    const Instant Now = ForwardState::now();
+    const decide::PartVerdict Verdict = m_State.m_Suspects.judge(Parts, Now);
+    if (Verdict == decide::PartVerdict::Sound)
+      co_return std::nullopt;
+    if (Verdict == decide::PartVerdict::Deadly)
+      co_return m_Run->onBlocked(decide::CrashSuspects::quietTime());
+    m_PromptTurn = m_State.m_Suspects.takeTurn(Parts);
+    if (m_PromptTurn)
+      co_return std::nullopt;
+    if (m_CallerGone || Now >= GiveUpAt)
+      co_return m_Run->onNoEndpoint(schema::PROMPT_SUSPECTED, retryAfter(),
+                                    Now);
+    co_await sleepFor(m_State.m_Io, PromptTurnCheckInterval);
+  }
+}
+
+// An engine that a prompt part crashes gets no further than the beginning.
+void ForwardCall::onAnswerBegun() {
+  if (std::exchange(m_AnswerBegun, true))
+    return;
+  m_State.onPartsChanged(
+      m_State.m_Suspects.onAnswerBegun(m_RequestHeaders.m_SharedParts,
+                                       ForwardState::now()),
+      m_Target.m_Endpoint.str());
+  m_PromptTurn.reset();
+}
+
 // \returns whether another attempt follows.
 asio::awaitable<bool> ForwardCall::applyStep(ForwardAction Step) {
   if (const auto *Resend = std::get_if<decide::RetryForward>(&Step)) {
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -3,8 +3,18 @@
 #include "decide/limited_service.h"
 #include "router/log.h"
 
+#include <algorithm>
+
 namespace mimosadale::forward {
 
+namespace {
+
+// Requests whose prompt parts are kept for one engine that may have crashed:
+// about as many as begin at a time.
+constexpr std::size_t MaxBrokenRequests = 64;
+
+} // namespace
+
 ForwardState::ForwardState(boost::asio::io_context &Io,
                            schema::ForwardSettings Settings)
     : m_Io(Io), m_Settings(std::move(Settings)), m_Client(Io.get_executor()),
@@ -117,8 +127,65 @@
        {"share", std::to_string(m_Limits.share(Endpoint, Now))},
        {"routers", std::to_string(m_RouterCount)},
        {"source", Source}});
-  if (m_TellLimits)
-    m_TellLimits();
+  if (m_TellRouters)
+    m_TellRouters();
+}
+
+void ForwardState::onBrokenBeforeAnswer(
+    const EndpointId &Engine, const decide::CrashSuspects::Parts &Parts,
+    Instant SentAt) {
+  const auto *Known = m_Fleet.find(Engine);
+  if (Parts.empty() || !Known)
+    return;
+  const auto [Entry, IsNew] = m_BrokenAt.try_emplace(Engine);
+  if (IsNew) {
+    Entry->second.m_At = now();
+    Entry->second.m_EngineStartedMs = Known->m_Record.m_StartedMs;
+  }
+  if (Entry->second.m_Requests.size() < MaxBrokenRequests)
+    Entry->second.m_Requests.emplace_back(Parts, SentAt);
+}
+
+void ForwardState::onNoResponse(const EndpointId &Engine) {
+  const auto Broken = m_BrokenAt.find(Engine);
+  if (Broken == m_BrokenAt.end())
+    return;
+  const BrokenConnections Connections = std::move(Broken->second);
+  m_BrokenAt.erase(Broken);
+  for (const auto &[Parts, SentAt] : Connections.m_Requests)
+    onPartsChanged(m_Suspects.onCrash(Parts,
+                                      {Engine, Connections.m_EngineStartedMs,
+                                       SentAt, Connections.m_At},
+                                      now()),
+                   Engine.str());
+}
+
+void ForwardState::onPartsChanged(
+    const std::vector<decide::ChangedPart> &Changes,
+    const std::string &Source) {
+  if (Changes.empty())
+    return;
+  for (const decide::ChangedPart &Changed : Changes) {
+    const char *State = "suspected";
+    if (Changed.m_Change == decide::PartChange::Blocked)
+      State = "blocked";
+    else if (Changed.m_Change == decide::PartChange::Cleared)
+      State = "cleared";
+    m_Metrics.countEvent(std::string("prompt_part_") + State);
+    router::logEvent(schema::INFO, "prompt_part",
+                     {{"part", Changed.m_Part.str()},
+                      {"state", State},
+                      {"crashes", std::to_string(Changed.m_Crashes)},
+                      {"source", Source}});
+  }
+  m_Metrics.setGauge("blocked_prompt_parts",
+                     static_cast<double>(m_Suspects.blocked()));
+  // What is cleared can wait for the next round.
+  if (m_TellRouters &&
+      std::any_of(Changes.begin(), Changes.end(), [](const auto &Changed) {
+        return Changed.m_Change != decide::PartChange::Cleared;
+      }))
+    m_TellRouters();
 }
 
 void ForwardState::onOversizeAnswer(const EndpointId &Endpoint,
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -3,6 +3,7 @@
 #define MIMOSADALE_FORWARD_FORWARD_STATE_H
 
 #include "decide/chain_router.h"
+#include "decide/crash_suspects.h"
 #include "decide/fleet.h"
 #include "decide/load_digest.h"
 #include "decide/reader_chooser.h"
@@ -100,6 +101,24 @@
   bool onlyLimitsRefuse(const ServiceId &Service,
                         const decide::EndpointSet &Avoided, Instant Now);
 
+  /// The connection to \p Engine broke before an answer to a request with these
+  /// prompt parts, sent at \p SentAt, had begun: they are suspected if the
+  /// engine crashed.
+  void onBrokenBeforeAnswer(const EndpointId &Engine,
+                            const decide::CrashSuspects::Parts &Parts,
+                            Instant SentAt);
+
+  /// \p Engine does not respond: it has crashed, if connections to it broke
+  /// before.
+  void onNoResponse(const EndpointId &Engine);
+
+  /// \p Engine responds: connections to it broke for another reason.
+  void onResponded(const EndpointId &Engine) { m_BrokenAt.erase(Engine); }
+
+  /// Logs what became of prompt parts and has it told to other routers.
+  void onPartsChanged(const std::vector<decide::ChangedPart> &Changes,
+                      const std::string &Source);
+
   /// Logs a change of a limit, counts it and has it told to other routers.
   void onLimitChange(const EndpointId &Endpoint, decide::LimitChange Change,
                      const std::string &Source);
@@ -128,7 +147,18 @@
   decide::ReaderChooser m_Readers;
   decide::DigestTracker m_LoadSource;
   decide::RequestLimits m_Limits;
-  std::function<void()> m_TellLimits; // other routers are to hear of a change
+  decide::CrashSuspects m_Suspects;
+  std::function<void()> m_TellRouters; // they are to hear of a change
+
+  // Connections to an engine that broke before an answer had begun, until it is
+  // known whether the engine crashed.
+  struct BrokenConnections {
+    Instant m_At{}; // the first one
+    std::uint64_t m_EngineStartedMs = 0;
+    // Prompt parts of each request, and when it was sent.
+    std::vector<std::pair<decide::CrashSuspects::Parts, Instant>> m_Requests;
+  };
+  std::map<EndpointId, BrokenConnections> m_BrokenAt;
 
   /// Number of routers that try to acquire the lease in a fixed order; all
   /// others try after them. `m_LeaseRank` is this router's position,
--- a/packages/forward/limit_exchange.cpp
+++ b/packages/forward/limit_exchange.cpp
@@ -28,7 +28,7 @@
 
 LimitExchange::LimitExchange(ForwardState &State)
     : m_State(State), m_NextRound(State.m_Io) {
-  m_State.m_TellLimits = [this] {
+  m_State.m_TellRouters = [this] {
     m_HasNews = true;
     m_NextRound.cancel();
   };
@@ -43,7 +43,8 @@
     if (!m_HasNews)
       co_await m_NextRound.async_wait(
           asio::redirect_error(asio::use_awaitable, Ignored));
-    if (m_State.m_Limits.active())
+    if (m_State.m_Limits.active() ||
+        m_State.m_Suspects.roundDue(ForwardState::now()))
       tellRouters();
     m_HasNews = false;
     co_await sleepFor(m_State.m_Io, MinRoundInterval);
@@ -68,7 +69,7 @@
   net::HttpRequest Request;
   Request.m_Method = "POST";
   Request.m_Target = LimitsPath;
-  Request.m_Body = m_State.m_Limits.notice(AskedAt).SerializeAsString();
+  Request.m_Body = encodeNotice(AskedAt);
   std::string Fault;
   m_State.m_Metrics.countEvent("limits_told");
   try {
@@ -97,6 +98,14 @@
   for (const auto &[Endpoint, Change] :
        m_State.m_Limits.merge(Notice, RequestedAt, ForwardState::now()))
     m_State.onLimitChange(Endpoint, Change, Notice.router());
+  m_State.onPartsChanged(m_State.m_Suspects.merge(Notice, ForwardState::now()),
+                         Notice.router());
+}
+
+std::string LimitExchange::encodeNotice(Instant Now) {
+  schema::LimitNotice Notice = m_State.m_Limits.notice(Now);
+  m_State.m_Suspects.addTo(Notice, Now);
+  return Notice.SerializeAsString();
 }
 
 net::HttpResponse LimitExchange::answer(const std::string &Body) {
@@ -110,8 +119,7 @@
     return Answer;
   }
   Answer.m_Headers.push_back({"Content-Type", "application/octet-stream"});
-  Answer.m_Body =
-      m_State.m_Limits.notice(ForwardState::now()).SerializeAsString();
+  Answer.m_Body = encodeNotice(ForwardState::now());
   return Answer;
 }
 
--- a/packages/forward/limit_exchange.h
+++ b/packages/forward/limit_exchange.h
@@ -1,4 +1,5 @@
-// Exchange of endpoints' request limits between routers.
+// Exchange of endpoints' request limits and suspected prompt parts between
+// routers.
 #ifndef MIMOSADALE_FORWARD_LIMIT_EXCHANGE_H
 #define MIMOSADALE_FORWARD_LIMIT_EXCHANGE_H
 
@@ -14,9 +15,10 @@
 /// Request target for limits, on a router's peer listener.
 inline constexpr const char *LimitsPath = "/limits";
 
-/// While endpoints name limits, tells other routers of them and of this
-/// router's demand, and hears theirs: all of them in a small fleet, some drawn
-/// at random in a large one, which pass it on. Sends nothing otherwise.
+/// While endpoints name limits or prompt parts are suspected of crashing them,
+/// tells other routers what is known of these and of this router's demand, and
+/// hears what they know: all of them in a small fleet, some drawn at random in
+/// a large one, which pass it on. Sends nothing otherwise.
 ///
 /// \par Thread safety
 /// None; runs on the router's thread.
@@ -34,6 +36,7 @@
   void tellRouters();
   boost::asio::awaitable<void> tell(std::string Router);
   void merge(const std::string &Body, Instant RequestedAt);
+  std::string encodeNotice(Instant Now);
 
   ForwardState &m_State;
   boost::asio::steady_timer m_NextRound;
--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -485,6 +485,10 @@
   const net::HttpRequest &Request = Exchange.request();
   while (Instance.m_Unresponsive)
     co_await sleepFor(50ms);
+  if (Instance.m_Crashed) {
+    Exchange.abort();
+    co_return;
+  }
   net::HttpResponse Answer;
   const std::string Expected = header(Request, platform::ExpectInstanceHeader);
   std::string InstanceId;
@@ -531,6 +535,35 @@
   co_await sendAnswer(Instance, Exchange, std::move(Answer));
 }
 
+void FakePlatform::crashOnPart(const std::string &Part) {
+  const std::lock_guard Lock(m_Mutex);
+  m_CrashingPart = Part;
+}
+
+std::vector<std::string> FakePlatform::crashedEngines() {
+  const std::lock_guard Lock(m_Mutex);
+  return m_CrashedEngines;
+}
+
+bool FakePlatform::crashesOn(const net::HttpRequest &Request) {
+  const std::lock_guard Lock(m_Mutex);
+  const std::string Parts = header(Request, platform::PromptPartsHeader);
+  const std::size_t Found = Parts.find(m_CrashingPart + ":");
+  return !m_CrashingPart.empty() && Found != std::string::npos &&
+         Found < Parts.rfind(',');
+}
+
+void FakePlatform::crash(Endpoint &Instance) {
+  const std::lock_guard Lock(m_Mutex);
+  Instance.m_Crashed = true;
+  m_CrashedEngines.push_back(Instance.m_Id);
+  Instance.m_Server->stop();
+  Instance.m_Server->closeIdle();
+  std::erase_if(m_Streams, [&](const auto &Running) {
+    return Running.second.m_Path.front() == &Instance;
+  });
+}
+
 void FakePlatform::addStateHeaders(const Endpoint &Instance,
                                    net::HttpResponse &Answer) {
   const std::lock_guard Lock(m_Mutex);
@@ -745,7 +778,12 @@
                           {platform::InstanceHeader, Path.front()->m_Id}},
                          ""};
   addStateHeaders(Instance, Head);
+  const bool Crashes = crashesOn(Request);
   co_await Exchange.startStream(std::move(Head));
+  if (Crashes) {
+    co_await sleepFor(m_EventInterval.load());
+    crash(Instance);
+  }
   for (unsigned EventId = LastEventId.empty() ? 1 : std::stoul(LastEventId) + 1;
        EventId <= TokenLimit; ++EventId) {
     co_await sleepFor(m_EventInterval.load());
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -100,6 +100,12 @@
   /// The endpoint executes the next \p Count requests, and closes the
   /// connection without an answer.
   void dropAnswers(const std::string &Id, int Count);
+  /// An engine that begins to write an answer to a prompt with this part, not
+  /// as its last one, crashes: its connections break, new ones are refused, and
+  /// it does not come back.
+  void crashOnPart(const std::string &Part);
+  /// Engines that crashed.
+  std::vector<std::string> crashedEngines();
   void setStoreMode(StoreMode Mode, std::size_t Index = 0);
 
   /// The content of the store at one moment.
@@ -145,6 +151,7 @@
     decide::LayerRange m_Layers;
     bool m_Leaving = false;
     std::atomic<bool> m_Unresponsive = false; // read without m_Mutex
+    std::atomic<bool> m_Crashed = false;      // read without m_Mutex
     int m_AnswersToDrop = 0;
     bool m_AnnouncesLeaving = false;
     std::chrono::seconds m_RetryAfter{};
@@ -197,6 +204,8 @@
   parsePath(const Endpoint &Instance, const std::string &PathText,
             std::vector<Endpoint *> &Path,
             const std::vector<Endpoint *> &CurrentPath);
+  bool crashesOn(const net::HttpRequest &Request);
+  void crash(Endpoint &Instance);
   bool isStalled(int Number);
   bool sendsOnlyComments(const Endpoint &Instance);
   bool isActive(int Number);
@@ -226,6 +235,8 @@
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
   std::atomic<bool> m_RepathAllowed = true;
   std::atomic<unsigned> m_EngineMemory = 1000000;
+  std::string m_CrashingPart; // empty: none
+  std::vector<std::string> m_CrashedEngines;
   std::vector<std::string> m_Violations;
   boost::json::array m_Routes;
   std::vector<std::string> m_Keys{"key"};
--- /dev/null
+++ b/tests/process/forward_crash_test.cpp
@@ -0,0 +1,83 @@
+// Requests whose prompts crash the engines that begin to answer them, and sound
+// requests beside them.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "platform/forward_helpers.h"
+
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace mimosadale;
+using namespace mimosadale::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+harness::Headers promptHeaders(const std::string &Id,
+                               const std::string &Parts) {
+  harness::Headers Headers = requestHeaders(Id);
+  Headers.push_back({"X-Mimosadale-Prompt-Prefix", Parts});
+  return Headers;
+}
+
+// Sends a request with the part that crashes engines. \returns its status; 0 if
+// the answer broke off.
+unsigned sendDeadly(const ForwardRouter &Router, const std::string &Id) {
+  harness::EventStream Stream(
+      Router.callerAddress(), "/guide/x",
+      promptHeaders(Id, "shared:40,deadly:300," + Id + ":9"), "x");
+  while (Stream.next())
+    continue;
+  return Stream.status() == 200 && !Stream.isComplete() ? 0 : Stream.status();
+}
+
+bool soundIsServed(const ForwardRouter &Router, const std::string &Id) {
+  harness::EventStream Stream(
+      Router.callerAddress(), "/guide/x",
+      promptHeaders(Id, "shared:40,sound:300," + Id + ":9"), "x");
+  while (Stream.next())
+    continue;
+  return Stream.status() == 200 && Stream.isComplete();
+}
+
+} // namespace
+
+// Guards against requests of one kind crashing engines one after the other,
+// each of them at several engines and routers.
+TEST_CASE("a prompt part crashes each engine that begins to answer it: two "
+          "routers stop sending it, refuse it as not run, and serve sound "
+          "requests that share its first part") {
+  FakePlatform Platform;
+  addDefaultEndpoints(Platform);
+  Platform.setEngineMemory(100000);
+  ForwardRouter R1(Platform, "r1");
+  ForwardRouter R2(Platform, "r2");
+  for (ForwardRouter *Router : {&R1, &R2}) {
+    waitUntilServing(*Router);
+    REQUIRE(harness::waitUntil([&] { return knownRouterCount(*Router) == 2; }));
+    REQUIRE(soundIsServed(*Router, "before"));
+  }
+  Platform.crashOnPart("deadly");
+  // At the second engine, a repeat or another request shows which part it is.
+  sendDeadly(R1, "d1");
+  std::this_thread::sleep_for(300ms);
+  sendDeadly(R2, "d2");
+  std::this_thread::sleep_for(600ms);
+  const std::size_t Crashed = Platform.crashedEngines().size();
+  CHECK(Crashed <= 3);
+  // Their entries lapse, so that their layers are assigned to others.
+  for (const std::string &Engine : Platform.crashedEngines())
+    Platform.deleteEntry(Engine);
+  for (int I = 0; I < 8; ++I) {
+    const std::string Id = "again" + std::to_string(I);
+    CHECK(sendDeadly(I % 2 ? R1 : R2, Id) == 503);
+    CHECK(Platform.runCount(Id) == 0);
+  }
+  for (ForwardRouter *Router : {&R1, &R2}) {
+    const bool Served = harness::waitUntil(
+        [&] { return soundIsServed(*Router, "sound"); }, 15s);
+    CAPTURE(Router->log());
+    CHECK(Served);
+    CHECK(sendDeadly(*Router, "last") == 503);
+  }
+  CHECK(Platform.crashedEngines().size() == Crashed);
+}
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -225,6 +225,25 @@
   CHECK_FALSE(DecodeDeadline("inf"));
 }
 
+TEST_CASE("the prompt parts of a request are decoded without its own, and odd "
+          "entries are left out") {
+  const auto Parts = [](const std::string &Text) {
+    net::HttpRequest Request;
+    Request.m_Headers = {{"X-Mimosadale-Prompt-Prefix", Text}};
+    std::string Ids;
+    for (const PromptPartId &Id :
+         platform::decodeRequestHeaders(Request).m_SharedParts)
+      Ids += Id.str() + ";";
+    return Ids;
+  };
+  CHECK(Parts("5c1e:800,91bd:410,e440:250") == "5c1e;91bd;");
+  CHECK(Parts("5c1e:800, 91bd:410 , e440") == "5c1e;91bd;");
+  CHECK(Parts("5c1e:800").empty());
+  CHECK(Parts("").empty());
+  CHECK(Parts(":1,,x,last:2") == "x;");
+  CHECK(Parts(std::string(100, 'a') + ":1,b:2,c:3") == "b;");
+}
+
 TEST_CASE("the lease's row keeps its holder and its expiry when encoded and "
           "decoded") {
   const decide::StoreVersion Nine(decide::StoreEra(2), 9);
