--- /dev/null
+++ b/tests/process/forward_faulty_test.cpp
@@ -0,0 +1,431 @@
+// Endpoints and registry entries with faults: refusals that are written again,
+// resumed streams that get something else, answers that end with their
+// connection, and odd entries.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "harness/scripted_server.h"
+#include "platform/forward_helpers.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <thread>
+
+using namespace mimosadale;
+using namespace mimosadale::tests;
+using namespace std::chrono_literals;
+using harness::headerOf;
+using harness::ScriptedAnswer;
+using harness::ScriptedServer;
+using End = ScriptedAnswer::End;
+
+namespace {
+
+const std::string IdName = "X-Mimosadale-Request-Id";
+
+std::string entry(const std::string &Service, const std::string &Address,
+                  const std::string &MoreFields = "") {
+  return R"({"Service":")" + Service + R"(","Address":")" + Address +
+         R"(","Zone":"fukuoka","Version":"v1","Slots":192,"Sequence":1,)" +
+         MoreFields + R"("State":"ready"})";
+}
+
+std::string engineEntry(const std::string &Address, int FirstLayer,
+                        int EndLayer) {
+  return entry("llm", Address,
+               R"("RouteType":"big","Layers":{"From":)" +
+                   std::to_string(FirstLayer) + R"(,"Target":)" +
+                   std::to_string(EndLayer) + R"(,"Version":1},)");
+}
+
+std::string headers(const std::string &Id) {
+  return "X-Mimosadale-Server-Seal: e\r\n" +
+         (Id.empty() ? "" : IdName + ": " + Id + "\r\n");
+}
+
+std::string refusal(const std::string &Id) {
+  return "HTTP/1.1 503 Busy\r\nX-Mimosadale-Not-Executed: 1\r\n" + headers(Id) +
+         "Content-Length: 0\r\n\r\n";
+}
+
+std::string whole(const std::string &Id, const std::string &Body,
+                  const std::string &Status = "200 OK") {
+  return "HTTP/1.1 " + Status + "\r\n" + headers(Id) +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+std::string event(int Number) {
+  return "id: " + std::to_string(Number) + "\ndata: t\n\n";
+}
+
+std::string events(int First, int Last) {
+  std::string Text;
+  for (int I = First; I <= Last; ++I)
+    Text += event(I);
+  return Text;
+}
+
+// The head of a stream whose end is that of its connection.
+std::string openHead(const std::string &Id,
+                     const std::string &Type = "text/event-stream") {
+  return "HTTP/1.1 200 OK\r\n" + headers(Id) + "Content-Type: " + Type +
+         "\r\nConnection: close\r\n\r\n";
+}
+
+bool isReport(const std::string &Head) {
+  return Head.find(" /v1/report ") != std::string::npos;
+}
+
+ScriptedAnswer reportAnswer() {
+  return {{{whole("", R"({"Busy":false,"Sequence":1,"Queued":0,"Running":0,)"
+                      R"("KvUsed":0,"KvTotal":1000000,"Stalled":[]})")}}};
+}
+
+// The second stage of each chain; routers only ask for its reports.
+class LastStages {
+public:
+  void addTo(FakePlatform &Platform) {
+    Platform.put("servers", "last1", engineEntry(m_Server.address(), 6, 12));
+    Platform.put("servers", "last2", engineEntry(m_Other.address(), 6, 12));
+  }
+
+private:
+  static ScriptedAnswer answer(const std::string &, unsigned) {
+    return reportAnswer();
+  }
+
+  ScriptedServer m_Server{answer};
+  ScriptedServer m_Other{answer};
+};
+
+void waitUntilReady(ForwardRouter &Router) {
+  REQUIRE(harness::waitUntil([&] { return Router.readinessStatus() == 200; }));
+}
+
+// Reads a stream of /guide/. \returns the ids of its events, with `!` at the
+// end if it was not complete.
+std::string readIds(const ForwardRouter &Router, const std::string &Id) {
+  harness::EventStream Stream(Router.callerAddress(), "/guide/x",
+                              requestHeaders(Id, "key", 6), "x");
+  std::string Ids;
+  while (const auto Event = Stream.next())
+    Ids += Event->m_Id + (Event->m_Data == "t" ? " " : "? ");
+  return Ids + (Stream.status() == 200 && Stream.isComplete() ? "" : "!");
+}
+
+bool statesNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+} // namespace
+
+// Guards against callers being told "not run" for requests that run, since an
+// earlier refusal arrived where the next answer was due.
+TEST_CASE("an endpoint writes an earlier refusal once more on a kept "
+          "connection: it is not taken for the answer to another request") {
+  bool WithId = true;
+  SUBCASE("with the id of the refused request") {}
+  SUBCASE("without an id") { WithId = false; }
+  CAPTURE(WithId);
+  std::atomic<int> Runs = 0;
+  std::atomic<bool> Refuses = false;
+  std::mutex Mutex;
+  std::string RefusedId;
+  FakePlatform Platform;
+  ScriptedServer Faulty([&](const std::string &Head, unsigned Number) {
+    const std::string Id = headerOf(Head, IdName);
+    const std::lock_guard Lock(Mutex);
+    if (Refuses.exchange(false)) {
+      RefusedId = Id;
+      return ScriptedAnswer{{{refusal(WithId ? Id : "")}}};
+    }
+    ++Runs;
+    ScriptedAnswer Answer;
+    if (Number > 0 && !RefusedId.empty())
+      Answer.m_Pieces.push_back({refusal(WithId ? RefusedId : "")});
+    Answer.m_Pieces.push_back({whole(Id, "ran " + Id), 30ms});
+    return Answer;
+  });
+  Platform.put("servers", "faulty", entry("booking", Faulty.address()));
+  Platform.configure(1);
+  ForwardRouter Router(Platform);
+  waitUntilReady(Router);
+  const auto book = [&](const std::string &Id) {
+    return harness::sendRequest("POST", Router.callerAddress(), "/book/a",
+                                requestHeaders(Id), "x");
+  };
+  CHECK(book("first").m_Status == 200);
+  Refuses = true;
+  // Without an id it may be that of an earlier request.
+  CHECK(book("refused").m_Status == (WithId ? 503 : 502));
+  for (int I = 0; I < 6; ++I) {
+    const std::string Id = "next" + std::to_string(I);
+    const int RunsBefore = Runs;
+    const auto Answer = book(Id);
+    CAPTURE(Answer.m_Status);
+    CHECK_FALSE(statesNotRun(Answer.m_Status));
+    CHECK((Answer.m_Status != 200 || Answer.m_Body == "ran " + Id));
+    CHECK(Runs == RunsBefore + 1);
+  }
+}
+
+// Guards against a second run of a request: its own earlier refusal is written
+// again when it is sent to the same engine once more.
+TEST_CASE("a stream is refused and later sent to the same engine again, which "
+          "writes the refusal once more: its answer is used") {
+  std::atomic<int> Continued = 0;
+  std::atomic<bool> Refused = false;
+  FakePlatform Platform;
+  ScriptedServer Second([&](const std::string &Head, unsigned Number) {
+    const std::string Id = headerOf(Head, IdName);
+    if (isReport(Head))
+      return reportAnswer();
+    if (!Refused.exchange(true))
+      return ScriptedAnswer{{{refusal(Id)}}};
+    ++Continued;
+    ScriptedAnswer Answer;
+    if (Number > 0) // on the connection of the refusal
+      Answer.m_Pieces.push_back({refusal(Id)});
+    Answer.m_Pieces.push_back({openHead(Id) + events(4, 6), 20ms});
+    Answer.m_End = End::Close;
+    return Answer;
+  });
+  ScriptedServer First([&](const std::string &Head, unsigned) {
+    if (isReport(Head))
+      return reportAnswer();
+    if (!headerOf(Head, "Last-Event-Id").empty())
+      return ScriptedAnswer{{}, End::Reset};
+    return ScriptedAnswer{
+        {{openHead(headerOf(Head, IdName)) + events(1, 3)}, {"", 100ms}},
+        End::Reset};
+  });
+  LastStages Rest;
+  Rest.addTo(Platform);
+  Platform.put("servers", "first", engineEntry(First.address(), 0, 6));
+  Platform.configure(1);
+  ForwardRouter Router(Platform);
+  waitUntilReady(Router);
+  harness::EventStream Stream(Router.callerAddress(), "/guide/x",
+                              requestHeaders("s", "key", 6), "x");
+  REQUIRE(Stream.next());
+  Platform.put("servers", "second", engineEntry(Second.address(), 0, 6));
+  unsigned Last = readInOrder(Stream, 1);
+  CAPTURE(Router.log());
+  CHECK(Last == 6);
+  CHECK(Stream.isComplete());
+  CHECK(Continued == 1);
+}
+
+// Guards against an error's text or another run's events inside a stream, and
+// against a stream that ends as if it were complete.
+TEST_CASE("a stream breaks off and the next engine answers with something "
+          "else: callers see only its own events, in order") {
+  std::function<std::string(const std::string &)> Continuation;
+  std::string Expected = "1 2 3 !";
+  SUBCASE("a failure") {
+    Continuation = [](const std::string &Id) {
+      return whole(Id, "stack trace", "500 Internal Server Error");
+    };
+  }
+  SUBCASE("a refusal without proof") {
+    Continuation = [](const std::string &Id) {
+      return whole(Id, "busy", "503 Service Unavailable");
+    };
+  }
+  SUBCASE("a success that is no stream") {
+    Continuation = [](const std::string &Id) { return whole(Id, "error"); };
+  }
+  SUBCASE("an error as an event without an id") {
+    Continuation = [](const std::string &Id) {
+      return openHead(Id) + "event: error\ndata: overloaded\n\n";
+    };
+  }
+  SUBCASE("the stream from its beginning") {
+    Continuation = [](const std::string &Id) {
+      return openHead(Id) + events(1, 6);
+    };
+  }
+  SUBCASE("an event of its own, then an older one") {
+    Continuation = [](const std::string &Id) {
+      return openHead(Id) + event(4) + event(2);
+    };
+    Expected = "1 2 3 4 !";
+  }
+  SUBCASE("its continuation") {
+    Continuation = [](const std::string &Id) {
+      return openHead(Id) + events(4, 6);
+    };
+    Expected = "1 2 3 4 5 6 ";
+  }
+  FakePlatform Platform;
+  ScriptedServer Second([&](const std::string &Head, unsigned) {
+    if (isReport(Head))
+      return reportAnswer();
+    return ScriptedAnswer{{{Continuation(headerOf(Head, IdName))}}, End::Close};
+  });
+  ScriptedServer First([&](const std::string &Head, unsigned) {
+    if (isReport(Head))
+      return reportAnswer();
+    if (headerOf(Head, "Last-Event-Id").empty())
+      return ScriptedAnswer{
+          {{openHead(headerOf(Head, IdName)) + events(1, 3) + "id: 4\nda"},
+           {"", 50ms}},
+          End::Reset};
+    return ScriptedAnswer{{}, End::Reset};
+  });
+  LastStages Rest;
+  Rest.addTo(Platform);
+  Platform.put("servers", "first", engineEntry(First.address(), 0, 6));
+  Platform.configure(1);
+  ForwardRouter Router(Platform);
+  waitUntilReady(Router);
+  harness::EventStream Stream(Router.callerAddress(), "/guide/x",
+                              requestHeaders("s", "key", 6), "x");
+  std::string Ids;
+  Platform.put("servers", "second", engineEntry(Second.address(), 0, 6));
+  while (const auto Event = Stream.next())
+    Ids += Event->m_Id + (Event->m_Data == "t" ? " " : "? ");
+  CAPTURE(Router.log());
+  CHECK(Ids + (Stream.isComplete() ? "" : "!") == Expected);
+}
+
+TEST_CASE("a stream has neither a length nor chunks and ends with its "
+          "connection: complete after an event, broken off inside one or by a "
+          "reset") {
+  std::string Bytes = events(1, 6);
+  End Ending = End::Close;
+  std::string Expected = "1 2 3 4 5 6 ";
+  SUBCASE("after its last event") {}
+  SUBCASE("inside an event") {
+    Bytes = events(1, 3) + "id: 4\ndata: t\n";
+    Expected = "1 2 3 !";
+  }
+  SUBCASE("inside the id of an event") {
+    Bytes = events(1, 3) + "id";
+    Expected = "1 2 3 !";
+  }
+  SUBCASE("by a reset after an event") {
+    Bytes = events(1, 3);
+    Ending = End::Reset;
+    Expected = "1 2 3 !";
+  }
+  FakePlatform Platform;
+  ScriptedServer Engine([&](const std::string &Head, unsigned) {
+    if (isReport(Head))
+      return reportAnswer();
+    if (!headerOf(Head, "Last-Event-Id").empty())
+      return ScriptedAnswer{{}, End::Reset};
+    return ScriptedAnswer{
+        {{openHead(headerOf(Head, IdName))}, {Bytes, 20ms}, {"", 50ms}},
+        Ending};
+  });
+  LastStages Rest;
+  Rest.addTo(Platform);
+  Platform.put("servers", "engine", engineEntry(Engine.address(), 0, 6));
+  Platform.configure(1);
+  ForwardRouter Router(Platform);
+  waitUntilReady(Router);
+  const std::string Ids = readIds(Router, "s");
+  CAPTURE(Router.log());
+  CHECK(Ids == Expected);
+}
+
+TEST_CASE("an answer of a plain service has neither a length nor chunks: whole "
+          "if its connection ends, not if it is reset") {
+  std::atomic<End> Ending = End::Close;
+  FakePlatform Platform;
+  ScriptedServer Service([&](const std::string &Head, unsigned) {
+    return ScriptedAnswer{
+        {{openHead(headerOf(Head, IdName), "text/plain") + "one "},
+         {"two", 20ms},
+         {"", 50ms}},
+        Ending};
+  });
+  Platform.put("servers", "service", entry("booking", Service.address()));
+  Platform.configure(1);
+  ForwardRouter Router(Platform);
+  waitUntilReady(Router);
+  for (const char *Target : {"/look/a", "/book/a"}) {
+    CAPTURE(Target);
+    const auto send = [&](const std::string &Id) {
+      return harness::sendRequest("POST", Router.callerAddress(), Target,
+                                  requestHeaders(Id + Target[1]), "x");
+    };
+    Ending = End::Close;
+    const auto Whole = send("whole");
+    CHECK(Whole.m_Status == 200);
+    CHECK(Whole.m_Body == "one two");
+    Ending = End::Reset;
+    CHECK(send("reset").m_Status == 502);
+  }
+}
+
+// Guards against one entry of another writer ending the routers or hiding the
+// endpoints beside it.
+TEST_CASE(
+    "odd entries stand among those of the endpoints, before the start and "
+    "later: routers run on, serve, and see the others change") {
+  const std::string Deep(20000, '[');
+  std::string Nested = R"({"Service":"booking","Address":"127.0.0.1:1",)"
+                       R"("State":"ready","Zone":)";
+  for (int I = 0; I < 500; ++I)
+    Nested += R"({"a":)";
+  Nested += "1" + std::string(501, '}');
+  const auto Numbered = [](const std::string &Field,
+                           const std::string &Number) {
+    return R"({"Service":"llm","Address":"127.0.0.1:9","Zone":"fukuoka",)"
+           R"("State":"ready","RouteType":"big","Slots":1,)"
+           R"("Layers":{"From":0,"Target":12,"Version":1},")" +
+           Field + R"(":)" + Number + "}";
+  };
+  std::vector<std::pair<std::string, std::string>> Odd{
+      {"deep", Deep},
+      {"deep-object", Nested},
+      {"empty", ""},
+      {"bytes", std::string("\xff\xfe\x00{", 4)},
+      {"port", entry("booking", "127.0.0.1:70000")},
+      {"port-negative", entry("booking", "127.0.0.1:-1")},
+      {"port-zero", entry("booking", "127.0.0.1:0")},
+      {"port-long", entry("booking", "127.0.0.1:99999999999999999999999")},
+      {"no-port", entry("booking", "127.0.0.1")},
+      {"name", entry("booking", "host.example:80")},
+      {"line\r\nX-Injected: 1", entry("booking", "127.0.0.1:1")}};
+  for (const char *Number : {"1e400", "-1e400", "1e308", "-5", "1.5",
+                             "99999999999999999999999999", "[]", "\"7\""}) {
+    Odd.emplace_back(std::string("slots") + Number, Numbered("Slots", Number));
+    Odd.emplace_back(std::string("born") + Number, Numbered("born", Number));
+    Odd.emplace_back(std::string("layers") + Number,
+                     Numbered("Layers", std::string(R"({"From":0,"Target":)") +
+                                            Number + "}"));
+  }
+  FakePlatform Platform;
+  for (std::size_t I = 0; I < Odd.size(); I += 2)
+    Platform.put("servers", Odd[I].first, Odd[I].second);
+  addDefaultEndpoints(Platform);
+  ForwardRouter Router(Platform);
+  waitUntilServing(Router);
+  for (const auto &[Key, Value] : Odd)
+    Platform.put("servers", Key, Value);
+  std::this_thread::sleep_for(500ms);
+  const auto look = [&](const std::string &Id) {
+    return harness::sendRequest("GET", Router.callerAddress(), "/look/a",
+                                requestHeaders(Id))
+        .m_Status;
+  };
+  for (int I = 0; I < 20; ++I)
+    CHECK(look("odd" + std::to_string(I)) == 200);
+  CHECK(readIds(Router, "s").starts_with("1? 2? 3? "));
+  Platform.addService("b3", "booking");
+  Platform.drain("b1");
+  Platform.drain("b2");
+  std::this_thread::sleep_for(2s);
+  for (int I = 0; I < 10; ++I)
+    CHECK(look("after" + std::to_string(I)) == 200);
+  CHECK(Platform.lastPath("after9") == std::vector<std::string>{"b3"});
+  CHECK(Router.process().running());
+  // It started once, without an end of its own in between.
+  const std::string Log = Router.log();
+  CAPTURE(Log);
+  const std::size_t Started = Log.find("\"started\"");
+  CHECK(Log.find("\"started\"", Started + 1) == std::string::npos);
+  CHECK(Log.find("task_failed") == std::string::npos);
+}
