End no stream as complete inside an event

What callers saw: a stream whose engine closed the connection inside an event ended as if it were complete, with a part of the event. Cause: bytes after the last complete event were passed on at the end of any answer, and an answer without a length ends with its connection. Evidence: forward_faulty_test -tc='a stream has neither*', 2 of 4 endings. Change: such an end counts as broken off; the stream is resumed elsewhere after its last complete event, or its connection is closed.

--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -319,8 +319,9 @@
     ++m_EventCount;
     co_await writeToCaller(m_Exchange.write(std::move(Complete)));
   }
-  if (std::string Remainder = m_Splitter.takeRemainder(); !Remainder.empty())
-    co_await writeToCaller(m_Exchange.write(std::move(Remainder)));
+  // The end of a connection may be the end of an answer, or of its engine.
+  if (!m_Splitter.takeRemainder().empty())
+    throw net::NetError(net::Phase::Read, false, "stream ended inside an event");
   onAnswerBegun();
   co_await writeToCaller(m_Exchange.finish());
   if (m_RequestHeaders.m_Size && m_RequestHeaders.m_LastEventId.empty())
