Deliver of a resumed stream only what continues it

What callers saw: an error of the next engine, or the stream from its beginning, inside their stream. Cause: the events of each engine were passed on as they came. Change: events of a resumed stream need ids that rise; other ones end that attempt as broken, before they are delivered. Ids that are no numbers cannot be compared, and such streams are taken as they are.

--- a/packages/forward/event_splitter.h
+++ b/packages/forward/event_splitter.h
@@ -2,6 +2,8 @@
 #ifndef MIMOSADALE_FORWARD_EVENT_SPLITTER_H
 #define MIMOSADALE_FORWARD_EVENT_SPLITTER_H
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -33,6 +35,16 @@
   /// The id of the last complete event that carried one; empty if none did.
   const std::string &lastId() const { return m_LastId; }
 
+  /// The last events taken are not delivered: the stream goes on after \p Id.
+  /// \pre None.
+  void restoreLastId(std::string Id) { m_LastId = std::move(Id); }
+
+  /// Whether \p Events, the next ones of a stream that another endpoint resumed
+  /// after the event \p LastId, continue it: each one with data has an id, and
+  /// ids rise. Ids that are no numbers cannot be compared and are taken as they
+  /// are. \pre \p Events consists of complete events.
+  static bool continueAfter(std::string_view Events, std::string_view LastId);
+
 private:
   void updateLastId(std::string_view Events);
 
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -297,8 +297,15 @@
 
 asio::awaitable<std::optional<ForwardAction>>
 ForwardCall::relayEvents(net::UpstreamExchange &Upstream) {
+  const bool Resumed = m_EventCount > 0;
   while (co_await Upstream.readSome(m_Splitter.buffer())) {
+    const std::string LastId = m_Splitter.lastId();
     std::string Complete = m_Splitter.takeComplete();
+    if (Resumed && !EventSplitter::continueAfter(Complete, LastId)) {
+      m_Splitter.restoreLastId(LastId);
+      throw net::NetError(net::Phase::Read, false,
+                          "the stream was resumed with other events");
+    }
     if (m_Splitter.buffer().size() > MaxEventBytes)
       throw net::OversizeError("event without end");
     if (Complete.empty())
@@ -321,7 +328,8 @@
   }
   // The end of a connection may be the end of an answer, or of its engine.
   if (!m_Splitter.takeRemainder().empty())
-    throw net::NetError(net::Phase::Read, false, "stream ended inside an event");
+    throw net::NetError(net::Phase::Read, false,
+                        "stream ended inside an event");
   onAnswerBegun();
   co_await writeToCaller(m_Exchange.finish());
   if (m_RequestHeaders.m_Size && m_RequestHeaders.m_LastEventId.empty())
--- a/tests/unit/forward_run_test.cpp
+++ b/tests/unit/forward_run_test.cpp
@@ -297,6 +297,25 @@
   CHECK(Previous->find("one.example", "/a/") != nullptr);
 }
 
+TEST_CASE("a resumed stream continues after its last event, or it is not the "
+          "same stream") {
+  const auto Continues = [](const char *Events) {
+    return forward::EventSplitter::continueAfter(Events, "9");
+  };
+  CHECK(Continues("id: 10\ndata: x\n\nid: 12\ndata: y\n\n"));
+  CHECK(Continues("id:10\r\ndata: x\r\n\r\n"));
+  CHECK(Continues(": keep-alive\n\n"));
+  CHECK(Continues(""));
+  CHECK_FALSE(Continues("id: 9\ndata: x\n\n"));
+  CHECK_FALSE(Continues("id: 1\ndata: x\n\n"));
+  CHECK_FALSE(Continues("id: 10\ndata: x\n\nid: 10\ndata: y\n\n"));
+  CHECK_FALSE(Continues("event: error\ndata: overloaded\n\n"));
+  CHECK_FALSE(Continues("id: 10\ndata: x\n\ndata: y\n\n"));
+  // Ids that are no numbers cannot be compared.
+  CHECK(forward::EventSplitter::continueAfter("id: a\ndata: x\n\n", "b"));
+  CHECK(forward::EventSplitter::continueAfter("data: x\n\n", ""));
+}
+
 TEST_CASE("events are forwarded complete, and a truncated one is dropped") {
   forward::EventSplitter Events;
   Events.buffer() += "id: 1\ndata: x\n\nid: 2\nda";
