Send a request to the same endpoint again on a new connection only

What callers saw: 'not run' or a second run, for a request that an endpoint was running, after that had written the request's earlier refusal once more. Cause: answers are matched by the request's id; a second send of one request to the same endpoint has the same id, and used the kept connection of the refusal. Evidence: forward_faulty_test -tc='a stream is refused*': sent three times where the second one was being run. Change: a repeat to an endpoint that had the request before opens a connection.

--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -46,6 +46,7 @@
 void ForwardRun::beforeAttempt(const EndpointId &Endpoint) {
   m_RunTracker.beforeDispatch();
   m_Tried.insert(Endpoint);
+  m_SentTo.insert(Endpoint);
   m_Current = Endpoint;
   m_AttemptOpen = true;
   ++m_Attempts;
--- a/packages/decide/forward_run.h
+++ b/packages/decide/forward_run.h
@@ -105,6 +105,12 @@
   /// Engines that this request must not be sent to again.
   const EndpointSet &avoided() const { return m_Avoided; }
 
+  /// Whether an earlier attempt of this request was sent to \p Endpoint. A
+  /// faulty one may answer it once more, under the same id.
+  bool sentBefore(const EndpointId &Endpoint) const {
+    return m_SentTo.contains(Endpoint);
+  }
+
   /// The time after which an answer is of no use to the caller.
   Instant end() const {
     return std::min(m_Params.m_Deadline, m_Params.m_Timeout);
@@ -123,7 +129,8 @@
   ForwardParams m_Params;
   RunTracker m_RunTracker;
   EndpointSet m_Avoided;
-  EndpointSet m_Tried; // distinct endpoints that may have started to run it
+  EndpointSet m_Tried;  // distinct endpoints that may have started to run it
+  EndpointSet m_SentTo; // all endpoints, those that refused it included
   EndpointId m_Current;
   bool m_AttemptOpen = false; // an attempt is recorded and has not failed
   bool m_HeadDelivered = false;
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -195,9 +195,11 @@
 
 asio::awaitable<std::optional<ForwardAction>>
 ForwardCall::runExchange(Target To) {
-  const Duration MaxIdle = m_Route->m_Kind == decide::CallKind::AtMostOnce
-                               ? MaxIdleTimeAtMostOnce
-                               : MaxIdleTime;
+  Duration MaxIdle = m_Route->m_Kind == decide::CallKind::AtMostOnce
+                         ? MaxIdleTimeAtMostOnce
+                         : MaxIdleTime;
+  if (m_Run->sentBefore(To.m_Endpoint))
+    MaxIdle = Duration{}; // an earlier answer to it may be written once more
   m_Connecting = true;
   std::function<void(std::function<void()>)> SetCancel =
       [this](std::function<void()> Cancel) { m_Cancel = std::move(Cancel); };
--- a/packages/net/upstream.cpp
+++ b/packages/net/upstream.cpp
@@ -229,7 +229,7 @@
                    std::function<void(std::function<void()>)> OnConnecting) {
   auto &Idle = m_IdleConnections->m_ByServer[serverKey(Server)];
   const SteadyTime Now = std::chrono::steady_clock::now();
-  while (!Idle.empty()) {
+  while (!Idle.empty() && MaxIdle > Duration{}) {
     auto Conn = std::move(Idle.back());
     Idle.pop_back();
     const Duration IdleLimit = std::min(
