--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -244,6 +244,15 @@
   CHECK(Parts(std::string(100, 'a') + ":1,b:2,c:3") == "b;");
 }
 
+TEST_CASE("an entry whose key cannot be sent in a header names no endpoint") {
+  const std::string Text =
+      R"({"Service":"s","Address":"127.0.0.1:1","Zone":"z","State":"ready"})";
+  CHECK_NOTHROW(platform::decodeRegistryEntry("i-1", Text));
+  for (const char *Key : {"", "i 1", "i\r\nX-Injected: 1", "i\x01", "\xff"})
+    CHECK_THROWS_AS(platform::decodeRegistryEntry(Key, Text),
+                    platform::DecodeError);
+}
+
 TEST_CASE("the lease's row keeps its holder and its expiry when encoded and "
           "decoded") {
   const decide::StoreVersion Nine(decide::StoreEra(2), 9);
