--- a/packages/net/upstream.h
+++ b/packages/net/upstream.h
@@ -69,10 +69,10 @@
   UpstreamPool &operator=(const UpstreamPool &) = delete;
 
   /// Opens an exchange with \p Server on a pooled connection that was idle for
-  /// at most \p MaxIdle, or on a new one, always so if \p MaxIdle is zero. For a
-  /// new connection, \p OnConnecting
-  /// receives a function that cancels the attempt to connect, and null once the
-  /// attempt has ended. \throws NetError of phase Connect.
+  /// at most \p MaxIdle, or on a new one, always so if \p MaxIdle is zero. For
+  /// a new connection, \p OnConnecting receives a function that cancels the
+  /// attempt to connect, and null once the attempt has ended. \throws NetError
+  /// of phase Connect.
   boost::asio::awaitable<std::unique_ptr<UpstreamExchange>>
   open(Address Server, Duration MaxIdle,
        std::function<void(std::function<void()> Cancel)> OnConnecting);
