--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -380,12 +380,13 @@
   return std::make_shared<const StoreCopy>(StoreCopy{m_Tables, m_Version});
 }
 
-void FakePlatform::restoreStore(const std::shared_ptr<const StoreCopy> &Copy) {
+void FakePlatform::restoreStore(const std::shared_ptr<const StoreCopy> &Copy,
+                                WaitingFeeds Feeds) {
   const std::lock_guard Lock(m_Mutex);
   m_Tables = Copy->m_Tables;
   m_Version = Copy->m_Version;
   m_Era += m_Era > 0 ? 1 : 0;
-  ++m_RestoreCount;
+  m_FeedsEnded += Feeds == WaitingFeeds::End ? 1 : 0;
 }
 
 void FakePlatform::setEra(std::uint64_t Era) {
@@ -407,21 +408,23 @@
   const auto Deadline =
       std::chrono::steady_clock::now() +
       std::chrono::milliseconds(std::stoul(parameter(Target, "WaitMs")));
-  const unsigned RestoreCount = m_RestoreCount;
+  const unsigned FeedsEnded = m_FeedsEnded;
   bool HistoryGone = false;
+  bool IsFirst = true;
   json::array Rows;
   std::uint64_t Version = 0;
   while (true) {
-    if (m_RestoreCount != RestoreCount) {
+    if (m_FeedsEnded != FeedsEnded) {
       Exchange.abort();
       co_return;
     }
     {
       const std::lock_guard Lock(m_Mutex);
-      if (After > m_Version) {
+      if (After > m_Version && IsFirst) {
         HistoryGone = true;
         break;
       }
+      IsFirst = false;
       for (const auto &[Key, Entry] : m_Tables[Table])
         if (Entry.m_Version > After)
           Rows.push_back(rowJson(Table, Key, Entry));
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -111,10 +111,16 @@
   /// The content of the store at one moment.
   struct StoreCopy;
   std::shared_ptr<const StoreCopy> copyStore();
+  /// What becomes of feeds that wait while the store is restored.
+  enum class WaitingFeeds {
+    End, // without an answer
+    Stay // they wait on for the version that they were opened with
+  };
+
   /// Replaces the store's content by an older copy, as a new era: its version
-  /// goes back, and the same numbers are given out again. Waiting feeds end
-  /// without an answer.
-  void restoreStore(const std::shared_ptr<const StoreCopy> &Copy);
+  /// goes back, and the same numbers are given out again.
+  void restoreStore(const std::shared_ptr<const StoreCopy> &Copy,
+                    WaitingFeeds Feeds = WaitingFeeds::End);
   /// The era that all answers of the store state; 0: they state none.
   void setEra(std::uint64_t Era);
   void setEventInterval(std::chrono::milliseconds Interval) {
@@ -223,8 +229,8 @@
   Tables m_Tables;
   std::uint64_t m_Version = 0;
   std::uint64_t m_LastStartMs = 1'700'000'000'000;
-  std::uint64_t m_Era = 0; // 0: not stated
-  std::atomic<unsigned> m_RestoreCount = 0;
+  std::uint64_t m_Era = 0;                // 0: not stated
+  std::atomic<unsigned> m_FeedsEnded = 0; // number of times
   std::map<std::string, std::unique_ptr<Endpoint>> m_Endpoints;
   std::map<std::string, int> m_RunCounts;
   std::map<std::string, std::vector<std::string>> m_LastPaths;
--- a/tests/process/forward_restore_test.cpp
+++ b/tests/process/forward_restore_test.cpp
@@ -359,3 +359,86 @@
   CHECK(Assigned);
   CHECK(Platform.violations().empty());
 }
+
+// Guards against a fleet whose readers keep the era before for the others.
+TEST_CASE(
+    "seventeen routers, of which two read for the others: the store comes "
+    "back from an older copy, and all follow it in time") {
+  constexpr int RouterCount = 17;
+  FakePlatform Platform;
+  Platform.setEra(1);
+  addDefaultEndpoints(Platform);
+  std::vector<std::unique_ptr<ForwardRouter>> Routers;
+  for (int I = 0; I < RouterCount; ++I)
+    Routers.push_back(
+        std::make_unique<ForwardRouter>(Platform, "r" + std::to_string(I)));
+  for (const auto &Router : Routers) {
+    waitUntilServing(*Router);
+    REQUIRE(harness::waitUntil(
+        [&] { return knownRouterCount(*Router) == RouterCount; }));
+  }
+  std::this_thread::sleep_for(1s); // until all read from their reader
+  const auto Copy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  Platform.setKeys({"fresh"});
+  Platform.configure(5);
+  const auto allRefuse = [&](const std::string &Key) {
+    return harness::waitUntil(
+        [&] {
+          return std::all_of(Routers.begin(), Routers.end(),
+                             [&](const auto &Router) {
+                               return lookStatus(*Router, Key) == 401;
+                             });
+        },
+        ConfigBound);
+  };
+  REQUIRE(allRefuse("key"));
+  restoreAfter(Platform, Copy);
+  const auto Back = Clock::now();
+  while (Clock::now() < Back + 1s)
+    for (const auto &Router : Routers)
+      CHECK(lookStatus(*Router, "key") == 401);
+  Platform.configure(5); // the operator writes again what was lost
+  std::this_thread::sleep_until(Back + StableTime - RewriteDelay);
+  Platform.setKeys({"newest"});
+  Platform.configure(7);
+  Platform.drain("b1");
+  const bool InForce = allRefuse("fresh");
+  std::this_thread::sleep_for(DrainBound);
+  const int ReceivedBefore = Platform.receivedRequests("b1");
+  for (const auto &Router : Routers) {
+    CAPTURE(Router->log());
+    CHECK(lookStatus(*Router, "newest") == 200);
+  }
+  CHECK(InForce);
+  CHECK(Platform.receivedRequests("b1") == ReceivedBefore);
+}
+
+// Guards against routers that notice a restored store only when a feed ends
+// that waits for a version of the era before.
+TEST_CASE(
+    "the store is restored without a call failing, and waiting feeds wait "
+    "on: changes are in force in time all the same") {
+  TwoRouters Fleet;
+  FakePlatform &Platform = Fleet.Platform;
+  const auto Copy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  // Until all feeds wait for a version above those of the copy.
+  std::this_thread::sleep_for(500ms);
+  Platform.restoreStore(Copy, FakePlatform::WaitingFeeds::Stay);
+  const auto Back = Clock::now();
+  std::this_thread::sleep_until(Back + StableTime - ConfigBound);
+  Platform.setKeys({"fresh"});
+  Platform.configure(5);
+  Platform.drain("b1");
+  std::this_thread::sleep_until(Back + StableTime);
+  CHECK(lookStatus(*Fleet.R1, "key") == 401);
+  CHECK(lookStatus(*Fleet.R2, "key") == 401);
+  const int ReceivedBefore = Platform.receivedRequests("b1");
+  for (int I = 0; I < 12; ++I) {
+    CHECK(lookStatus(*Fleet.R1, "fresh") == 200);
+    CHECK(lookStatus(*Fleet.R2, "fresh") == 200);
+  }
+  CAPTURE(Fleet.R1->log());
+  CHECK(Platform.receivedRequests("b1") == ReceivedBefore);
+}
