Split the fleet case of the restored store off, and share its steps

One test a file runs in parallel with the others; together they came near the time limit of a file under sanitizers.

--- a/tests/platform/forward_helpers.cpp
+++ b/tests/platform/forward_helpers.cpp
@@ -79,4 +79,26 @@
   CHECK(Platform.violations().empty());
 }
 
+unsigned lookStatus(const ForwardRouter &Router, const std::string &Key,
+                    const std::string &Target) {
+  return harness::sendRequest("GET", Router.callerAddress(), Target,
+                              requestHeaders("look", Key))
+      .m_Status;
+}
+
+void writeUnrelatedRows(FakePlatform &Platform) {
+  constexpr int Rows = 60;
+  for (int I = 0; I < Rows; ++I)
+    Platform.put("other", "row" + std::to_string(I), "raises the version");
+}
+
+void restoreAfter(FakePlatform &Platform,
+                  const std::shared_ptr<const FakePlatform::StoreCopy> &Copy,
+                  StoreMode Mode, std::chrono::milliseconds Time) {
+  Platform.setStoreMode(Mode);
+  std::this_thread::sleep_for(Time);
+  Platform.restoreStore(Copy);
+  Platform.setStoreMode(StoreMode::Available);
+}
+
 } // namespace mimosadale::tests
--- a/tests/platform/forward_helpers.h
+++ b/tests/platform/forward_helpers.h
@@ -37,6 +37,22 @@
 void stallAndResume(FakePlatform &Platform, const Streams &OpenStreams,
                     unsigned Events);
 
+/// The status of a lookup with this key.
+unsigned lookStatus(const ForwardRouter &Router, const std::string &Key,
+                    const std::string &Target = "/look/a");
+
+/// Writes many rows that concern no router: more than are written after the
+/// store was restored, so that the versions given out again stay below those
+/// known before.
+void writeUnrelatedRows(FakePlatform &Platform);
+
+/// The store is away for \p Time and comes back with the content of \p Copy.
+void restoreAfter(
+    FakePlatform &Platform,
+    const std::shared_ptr<const FakePlatform::StoreCopy> &Copy,
+    StoreMode Mode = StoreMode::Unavailable,
+    std::chrono::milliseconds Time = std::chrono::milliseconds(700));
+
 } // namespace mimosadale::tests
 
 #endif
