--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -35,9 +35,9 @@
 // router table's feed.
 constexpr Duration RegisterInterval = std::chrono::seconds(1);
 
-// Longest wait of the configuration's and the registry's feeds at a store that
-// states its era: half
-// of the time after a disturbance in which a change must take effect again.
+// Longest wait of the feeds of configuration and registry at a store that
+// states its era: half of the time after a disturbance in which a change must
+// take effect again.
 constexpr Duration EraCheckWait = std::chrono::milliseconds(1500);
 
 // Interval between two reads of a table of a restored store, until it is known.
--- a/tests/process/forward_restore_fleet_test.cpp
+++ b/tests/process/forward_restore_fleet_test.cpp
@@ -22,6 +22,9 @@
 constexpr auto DrainBound = 2s;
 constexpr auto StableTime = 3s;
 
+// By this long before that, the configuration is written.
+constexpr auto RewriteDelay = 300ms;
+
 } // namespace
 
 // Guards against a fleet whose readers keep the era before for the others.
@@ -63,7 +66,7 @@
     for (const auto &Router : Routers)
       CHECK(lookStatus(*Router, "key") == 401);
   Platform.configure(5); // the operator writes again what was lost
-  std::this_thread::sleep_until(Back + StableTime);
+  std::this_thread::sleep_until(Back + StableTime - RewriteDelay);
   Platform.setKeys({"newest"});
   Platform.configure(7);
   Platform.drain("b1");
