--- a/review/stand-in/world.h
+++ b/review/stand-in/world.h
@@ -299,6 +299,17 @@
     m_SilentFor[Router] = Silent;
     m_Changed.notify_all();
   }
+  // A drill: it is away, turns calls away meanwhile, and comes back from a copy.
+  struct Copy;
+  std::shared_ptr<const Copy> copy();
+  void setAway(bool Away) {
+    const std::lock_guard Lock(m_Mutex);
+    m_Away = Away;
+    m_Changed.notify_all();
+  }
+  void restore(const std::shared_ptr<const Copy> &From);
+  // From then on all its answers state an era.
+  void stateEra() { m_StatesEra = true; }
   std::size_t rows(const std::string &Table) {
     const std::lock_guard Lock(m_Mutex);
     return m_Tables[Table].size();
@@ -350,7 +361,9 @@
       return false;
     std::string Body;
     int Status = 200;
-    if (Target.starts_with("/v1/rows-get")) {
+    if (m_Away) {
+      Status = 503;
+    } else if (Target.starts_with("/v1/rows-get")) {
       Body = rowsJson(Router, query(Target, "Table"), 0, false);
     } else if (Target.starts_with("/v1/rows-feed")) {
       const std::string Table = query(Target, "Table");
@@ -362,9 +375,17 @@
             return true;
         return false;
       };
-      while (m_SilentFor[Router] || (!Due() && Clock::now() < End))
+      const int Era = m_Era;
+      if (After > m_Version)
+        Status = 410;
+      while (Status == 200 &&
+             (m_SilentFor[Router] || (!Due() && Clock::now() < End))) {
         m_Changed.wait_for(Lock, Ms(20));
-      Body = rowsJson(Router, Table, After, true);
+        if (m_Away || m_Era != Era)
+          Status = 503;
+      }
+      if (Status == 200)
+        Body = rowsJson(Router, Table, After, true);
     } else if (Target.starts_with("/v1/rows-tx")) {
       const auto Json = boost::json::parse(Request.m_Body);
       bool Holds = true;
@@ -396,10 +417,12 @@
     } else {
       Status = 404;
     }
+    Headers Extra{{"Content-Type", "application/json"}};
+    if (m_StatesEra)
+      Extra.emplace_back("Store-Era", std::to_string(m_Era));
     Lock.unlock();
     sleepMs(4);
-    return writeAll(
-        Fd, encodeAnswer(Status, {{"Content-Type", "application/json"}}, Body));
+    return writeAll(Fd, encodeAnswer(Status, Extra, Body));
   }
   static std::string fromBase64(const std::string &In) {
     std::string Out;
@@ -430,10 +453,31 @@
   std::condition_variable m_Changed;
   std::map<std::string, std::map<std::string, Row>> m_Tables;
   std::uint64_t m_Version = 0;
+  int m_Era = 0;
+  bool m_Away = false;
+  std::atomic<bool> m_StatesEra = false;
   std::vector<bool> m_SilentFor;
   std::vector<std::unique_ptr<Listener>> m_Listeners;
 };
 
+struct Store::Copy {
+  std::map<std::string, std::map<std::string, Row>> m_Tables;
+  std::uint64_t m_Version;
+};
+
+inline std::shared_ptr<const Store::Copy> Store::copy() {
+  const std::lock_guard Lock(m_Mutex);
+  return std::make_shared<const Copy>(Copy{m_Tables, m_Version});
+}
+
+inline void Store::restore(const std::shared_ptr<const Copy> &From) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Tables = From->m_Tables;
+  m_Version = From->m_Version;
+  ++m_Era;
+  m_Changed.notify_all();
+}
+
 // A worker of a plain service, reached by each router at an address of its own,
 // so that the way from one router can be cut.
 class Worker {
