--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // The store is silent for 4.5 s just after a change of the configuration.
-// Afterwards a key and a route are added. Rules CONFIG and DENIED: a request sent
-// later than ConfigApplyMs after the acknowledgement is not refused as an older
-// version does, and proper requests are not ended with 401 and 404.
+// Afterwards a key and a route are added. Rules CONFIG and DENIED: a request
+// sent later than ConfigApplyMs after the acknowledgement is not refused as an
+// older version does, and proper requests are not ended with 401 and 404.
 #include "world.h"
 
 using namespace world;
@@ -59,9 +59,10 @@
   int Sent = 0;
   for (; nowMs() < AckedAt + 6000; sleepMs(40)) {
     const Answer Reply =
-        Sent % 4 < 2 ? ask(*Routers[Sent % 2], "k" + std::to_string(Sent), "key-9")
-                     : ask(*Routers[Sent % 2], "p" + std::to_string(Sent),
-                           "key-1", "GET", "/idle110/a");
+        Sent % 4 < 2
+            ? ask(*Routers[Sent % 2], "k" + std::to_string(Sent), "key-9")
+            : ask(*Routers[Sent % 2], "p" + std::to_string(Sent), "key-1",
+                  "GET", "/idle110/a");
     ++Sent;
     Refused += Reply.m_Status == 401 || Reply.m_Status == 404 ? 1 : 0;
   }
--- a/review/stand-in/world.h
+++ b/review/stand-in/world.h
@@ -1,6 +1,7 @@
-// Stand-ins for the cases of the review: the platform's store, plain workers and
-// clients, in one process with threads, and the routers as processes started
-// with the command of deploy/system.toml. All addresses are loopback addresses.
+// Stand-ins for the cases of the review: the platform's store, plain workers
+// and clients, in one process with threads, and the routers as processes
+// started with the command of deploy/system.toml. All addresses are loopback
+// addresses.
 #ifndef REVIEW_WORLD_H
 #define REVIEW_WORLD_H
 
@@ -177,9 +178,7 @@
     m_Fd = boundSocket(m_Port);
     listenNow();
   }
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(m_Port);
-  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(m_Port); }
   // Resets the connections and refuses new ones: the way there is cut.
   void cut() {
     const std::lock_guard Lock(m_Mutex);
@@ -251,9 +250,8 @@
   for (std::size_t I = 0; I < In.size(); I += 3) {
     unsigned Bits = 0;
     for (std::size_t J = 0; J < 3; ++J)
-      Bits = Bits << 8 | (I + J < In.size()
-                              ? static_cast<unsigned char>(In[I + J])
-                              : 0u);
+      Bits = Bits << 8 |
+             (I + J < In.size() ? static_cast<unsigned char>(In[I + J]) : 0u);
     for (std::size_t J = 0; J < 4; ++J)
       Out += J <= In.size() - I ? Alphabet[Bits >> (18 - 6 * J) & 63] : '=';
   }
@@ -266,8 +264,8 @@
   explicit Store(std::size_t Routers) {
     for (std::size_t I = 0; I < Routers; ++I) {
       m_SilentFor.push_back(false);
-      m_Listeners.push_back(std::make_unique<Listener>(
-          [this, I](int Fd, const Message &Request) {
+      m_Listeners.push_back(
+          std::make_unique<Listener>([this, I](int Fd, const Message &Request) {
             return answer(I, Fd, Request);
           }));
     }
@@ -299,7 +297,8 @@
     m_SilentFor[Router] = Silent;
     m_Changed.notify_all();
   }
-  // A drill: it is away, turns calls away meanwhile, and comes back from a copy.
+  // A drill: it is away, turns calls away meanwhile, and comes back from a
+  // copy.
   struct Copy;
   std::shared_ptr<const Copy> copy();
   void setAway(bool Away) {
@@ -402,13 +401,12 @@
       if (Holds) {
         ++m_Version;
         for (const auto &Item : Json.at("SetKeys").as_array())
-          m_Tables[std::string(Item.at("Table").as_string())]
-                  [std::string(Item.at("Key").as_string())] = {
-                      std::vector<std::string>(
-                          m_Listeners.size(),
-                          fromBase64(
-                              std::string(Item.at("Value").as_string()))),
-                      m_Version, false};
+          m_Tables[std::string(Item.at("Table").as_string())][std::string(
+              Item.at("Key").as_string())] = {
+              std::vector<std::string>(
+                  m_Listeners.size(),
+                  fromBase64(std::string(Item.at("Value").as_string()))),
+              m_Version, false};
         m_Changed.notify_all();
       }
       Status = Holds ? 200 : 412;
@@ -493,8 +491,8 @@
       : m_Id(std::move(Id)), m_Service(std::move(Service)),
         m_Zone(std::move(Zone)) {
     for (std::size_t I = 0; I < Routers; ++I)
-      m_Listeners.push_back(std::make_unique<Listener>(
-          [this, I](int Fd, const Message &Request) {
+      m_Listeners.push_back(
+          std::make_unique<Listener>([this, I](int Fd, const Message &Request) {
             return answer(I, Fd, Request);
           }));
   }
@@ -506,8 +504,7 @@
       Values.push_back("{\"Service\":\"" + m_Service + "\",\"Address\":\"" +
                        Listen->address() + "\",\"Zone\":\"" + m_Zone +
                        "\",\"Version\":\"v1\",\"Slots\":6,\"State\":\"" +
-                       State +
-                       "\",\"ColdRemainingMs\":0,\"Sequence\":" +
+                       State + "\",\"ColdRemainingMs\":0,\"Sequence\":" +
                        std::to_string(++m_Sequence) +
                        ",\"born\":1790000000000}");
     To.put("servers", m_Id, std::move(Values));
@@ -527,10 +524,11 @@
     if (m_Leaving)
       Extra.emplace_back("Server-Leaving", "1");
     if (Request.target() == "/v1/report")
-      return writeAll(Fd, encodeAnswer(200, Extra,
-                                       "{\"Stage\":\"\",\"Models\":[],\"Busy\":"
-                                       "false,\"Sequence\":0,\"Queued\":0,"
-                                       "\"Running\":0,\"born\":1790000000000}"));
+      return writeAll(Fd,
+                      encodeAnswer(200, Extra,
+                                   "{\"Stage\":\"\",\"Models\":[],\"Busy\":"
+                                   "false,\"Sequence\":0,\"Queued\":0,"
+                                   "\"Running\":0,\"born\":1790000000000}"));
     const std::string Id = Request.header("X-Mimosadale-Request-Id");
     const std::string Expected = Request.header("X-Mimosadale-Expect-Instance");
     Extra.emplace_back("X-Mimosadale-Instance-Id", m_Id);
@@ -690,29 +688,35 @@
 // A configuration with two routes to the service "booking", some idle routes as
 // on a real deployment, and these keys of tenant "t1".
 inline std::string config(int Version, const std::vector<std::string> &Keys,
-                          int IdleRoutes = 110,
-                          const std::string &MoreRoutes = "") {
+                          int IdleRoutes = 110, bool WithLedger = false) {
   const auto Route = [](const std::string &Name, const std::string &Prefix,
-                        const std::string &Kind, int Attempts) {
+                        const std::string &Kind, int Attempts,
+                        const std::string &Service = "booking") {
     return "{\"Name\":\"" + Name +
            "\",\"Host\":\"shop.example\",\"Prefix\":\"" + Prefix +
            "\",\"RouteType\":\"" + Kind +
            "\",\"TimeoutMs\":1200,\"TargetLatencyMs\":150,\"Priority\":2,"
-           "\"Service\":\"booking\",\"MaxAttempts\":" +
-           std::to_string(Attempts) +
-           ",\"Public\":false,\"SessionAffinity\":false,\"StreamResume\":false}";
+           "\"Service\":\"" +
+           Service + "\",\"MaxAttempts\":" + std::to_string(Attempts) +
+           ",\"Public\":false,\"SessionAffinity\":false,\"StreamResume\":"
+           "false}";
   };
   std::string Routes = Route("reserve", "/reserve/", "non_idempotent", 1) +
                        "," + Route("lookup", "/lookup/", "idempotent", 2);
   for (int I = 0; I < IdleRoutes; ++I)
     Routes += "," + Route("idle" + std::to_string(I),
                           "/idle" + std::to_string(I) + "/", "idempotent", 2);
+  if (WithLedger)
+    Routes += "," + Route("ledger", "/ledger/", "idempotent", 2, "ledger");
+  const std::string Ledger =
+      "{\"Name\":\"ledger\",\"HealthCheckPath\":\"/health\","
+      "\"MaxConnections\":96,\"Protocol\":\"h1\",\"Tls\":false},";
   std::string KeyList;
   for (const std::string &Key : Keys)
     KeyList += (KeyList.empty() ? "\"" : ",\"") + Key + "\"";
   return "{\"Version\":" + std::to_string(Version) + ",\"Routes\":[" + Routes +
-         MoreRoutes +
-         "],\"Services\":[{\"Name\":\"booking\",\"HealthCheckPath\":\"/health\","
+         "],\"Services\":[" + (WithLedger ? Ledger : "") +
+         "{\"Name\":\"booking\",\"HealthCheckPath\":\"/health\","
          "\"MaxConnections\":96,\"Protocol\":\"h1\",\"Tls\":false}],"
          "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
          "\"HeaderTimeoutMs\":10000,\"IdleTimeoutMs\":60000},"
