Bound the wait of the configuration's feed at a store that lost its call

Cause, shown before the change: a feed's call waits 20 s at the store, and 1 s more for its answer. One that reaches a silent store is never answered, and TCP keep-alive detects a lost peer, not a silent one.

Ruled out: the comparison between routers, which works (a router whose feed alone is stale follows within 4 s, forward_store_test); a configuration read but not adopted (no `config_adopted` or `config_kept_over_copy` line).

Change: the feed of a table whose changes must take effect in time waits 1.5 s at most, as it did at stores that state an era. The unit test plays silences of 0.1 to 12 s at 200 phases of the feed: read again within 3 s of the store's return.

--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -7,9 +7,15 @@
 namespace {
 
 // Long-poll timeout of a feed call to the store: below the store's limit of 30
-// s. A dead connection is detected by its keep-alive.
+// s. A dead connection is detected by its keep-alive; a store that took the
+// call and lost it is not.
 constexpr Duration StoreWait = std::chrono::seconds(20);
 
+// The same for a table whose changes must take effect in time: a call that is
+// never answered has failed within half of the time from a disturbance on after
+// which they must again.
+constexpr Duration BoundedWait = std::chrono::milliseconds(1500);
+
 // Long-poll timeouts while the store fails, and of calls to another router: a
 // change must take effect within two seconds, whichever source is read.
 constexpr Duration FailingWait = std::chrono::milliseconds(300);
@@ -87,6 +93,8 @@
   return Result;
 }
 
+Duration boundedFeedWait() { return BoundedWait; }
+
 RowSource RowSourceChooser::next() const {
   return m_UsePeer ? RowSource::Peer : RowSource::Store;
 }
@@ -94,7 +102,9 @@
 Duration RowSourceChooser::wait() const {
   if (m_UsePeer)
     return PeerWait;
-  return m_StoreFailures > 0 ? FailingWait : StoreWait;
+  if (m_StoreFailures > 0)
+    return FailingWait;
+  return m_MaxWait ? std::min(*m_MaxWait, StoreWait) : StoreWait;
 }
 
 Duration RowSourceChooser::onCallEnded(bool Failed, bool HasPeers,
--- a/packages/decide/row_cache.h
+++ b/packages/decide/row_cache.h
@@ -84,6 +84,10 @@
 /// Where a router reads a table from.
 enum class RowSource { Store, Peer };
 
+/// Longest long-poll timeout of the feed of a table whose changes must take
+/// effect within seconds. Safe from any thread.
+Duration boundedFeedWait();
+
 /// Chooses the source of each read. A router reads the store; while the store
 /// fails, it alternates between other routers and the store.
 ///
@@ -91,6 +95,12 @@
 /// None.
 class RowSourceChooser {
 public:
+  /// Reads a table whose changes have no time to take effect in.
+  RowSourceChooser() = default;
+
+  /// \param MaxWait the longest long-poll timeout of calls to the store.
+  explicit RowSourceChooser(Duration MaxWait) : m_MaxWait(MaxWait) {}
+
   /// The source of the next call.
   RowSource next() const;
 
@@ -103,6 +113,7 @@
   Duration onCallEnded(bool Failed, bool HasPeers, Duration Interval);
 
 private:
+  std::optional<Duration> m_MaxWait;
   unsigned m_StoreFailures = 0; // consecutive
   bool m_UsePeer = false;
   Duration m_Backoff{};
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -67,6 +67,7 @@
   m_ConfigTable.m_Name = platform::OperatorTable;
   m_ConfigTable.m_ServedByPeers = true;
   m_ConfigTable.m_HasReaders = true;
+  m_ConfigTable.m_Source = decide::RowSourceChooser(decide::boundedFeedWait());
   m_ConfigTable.m_Interval = [] { return ConfigInterval; };
   m_ConfigTable.m_Apply = [this](const platform::RowBatch &Changes,
                                  RowsKind Kind, decide::RowSource Source) {
--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -380,15 +380,19 @@
 FakePlatform::Task FakePlatform::handleStore(Listener &StoreListener,
                                              net::HttpExchange &Exchange) {
   const net::HttpRequest &Request = Exchange.request();
-  if (StoreListener.m_Mode == StoreMode::Unresponsive) {
+  const StoreMode Mode = modeFor(StoreListener, Request.m_Target);
+  if (Mode == StoreMode::Silent) {
+    co_await hold(Exchange);
+    co_return;
+  }
+  if (Mode == StoreMode::Unresponsive) {
     while (StoreListener.m_Mode == StoreMode::Unresponsive)
       co_await sleepFor(20ms);
     Exchange.abort();
     co_return;
   }
   net::HttpResponse Answer{503, {}, ""};
-  if (StoreListener.m_Mode == StoreMode::Available ||
-      StoreListener.m_Mode == StoreMode::StaleFeeds) {
+  if (Mode == StoreMode::Available || Mode == StoreMode::StaleFeeds) {
     if (Request.m_Target.starts_with("/v1/rows-feed")) {
       co_await serveFeed(StoreListener, Exchange);
       co_return;
@@ -400,6 +404,23 @@
   co_await respondFromStore(Exchange, std::move(Answer));
 }
 
+// Keeps the connection open without an answer until the caller closes it.
+FakePlatform::Task FakePlatform::hold(net::HttpExchange &Exchange) {
+  const auto CallerGone = std::make_shared<bool>(false);
+  Exchange.watchCaller([CallerGone] { *CallerGone = true; });
+  while (!*CallerGone)
+    co_await sleepFor(20ms);
+  Exchange.abort();
+}
+
+StoreMode FakePlatform::modeFor(const Listener &StoreListener,
+                                const std::string &Target) {
+  const std::lock_guard Lock(m_Mutex);
+  const bool Applies =
+      m_ModeTable.empty() || parameter(Target, "Table") == m_ModeTable;
+  return Applies ? StoreListener.m_Mode.load() : StoreMode::Available;
+}
+
 FakePlatform::Task FakePlatform::respondFromStore(net::HttpExchange &Exchange,
                                                   net::HttpResponse Answer) {
   {
@@ -448,6 +469,11 @@
   m_Listeners[Index].m_Mode = Mode;
 }
 
+void FakePlatform::limitStoreModeTo(const std::string &Table) {
+  const std::lock_guard Lock(m_Mutex);
+  m_ModeTable = Table;
+}
+
 FakePlatform::Task FakePlatform::serveFeed(Listener &StoreListener,
                                            net::HttpExchange &Exchange) {
   const std::string Target = Exchange.request().m_Target;
@@ -466,6 +492,7 @@
       Exchange.abort();
       co_return;
     }
+    const StoreMode Mode = modeFor(StoreListener, Target);
     {
       const std::lock_guard Lock(m_Mutex);
       if (After > m_Version && IsFirst) {
@@ -478,12 +505,13 @@
           Rows.push_back(rowJson(Table, Key, Entry));
       Version = m_Version;
     }
-    const bool StaleFeeds = StoreListener.m_Mode == StoreMode::StaleFeeds;
+    const bool StaleFeeds = Mode == StoreMode::StaleFeeds;
     if (StaleFeeds)
       Version = StoreListener.m_StaleVersion;
     if ((!Rows.empty() && !StaleFeeds) ||
         std::chrono::steady_clock::now() > Deadline ||
-        (StoreListener.m_Mode != StoreMode::Available && !StaleFeeds))
+        (Mode != StoreMode::Available && Mode != StoreMode::Silent &&
+         !StaleFeeds))
       break;
     Rows.clear();
     co_await sleepFor(5ms);
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -26,7 +26,9 @@
 enum class StoreMode {
   Available,
   Unavailable,
-  Unresponsive,
+  Unresponsive, // calls are cut when the mode ends
+  Silent, // calls received meanwhile are never answered and their connections
+          // stay open; feeds that wait already are answered as usual
   StaleFeeds // serves, but its feeds report no changes after the mode was set
 };
 
@@ -121,6 +123,9 @@
   /// Endpoints that crashed, in order; one that came back may be there again.
   std::vector<std::string> crashedEngines();
   void setStoreMode(StoreMode Mode, std::size_t Index = 0);
+  /// Only calls that name this table are treated by the listeners' modes;
+  /// empty: all calls are.
+  void limitStoreModeTo(const std::string &Table);
 
   /// The content of the store at one moment.
   struct StoreCopy;
@@ -213,6 +218,8 @@
   void publishEntry(const Endpoint &Instance);
   Task handleStore(Listener &StoreListener, net::HttpExchange &Exchange);
   Task serveFeed(Listener &StoreListener, net::HttpExchange &Exchange);
+  Task hold(net::HttpExchange &Exchange);
+  StoreMode modeFor(const Listener &StoreListener, const std::string &Target);
   Task respondFromStore(net::HttpExchange &Exchange, net::HttpResponse Answer);
   net::HttpResponse readTable(const std::string &Target);
   net::HttpResponse transact(const std::string &Body);
@@ -276,6 +283,7 @@
   std::vector<std::string> m_Keys{"key"};
   std::atomic<std::chrono::milliseconds> m_EventInterval{
       std::chrono::milliseconds(4)};
+  std::string m_ModeTable; // empty: all
   std::array<Listener, 2> m_Listeners;
   std::thread m_Thread;
 };
--- a/tests/unit/row_cache_test.cpp
+++ b/tests/unit/row_cache_test.cpp
@@ -168,6 +168,40 @@
   }
 }
 
+// Guards against routers that wait for an answer which a silent store lost,
+// long after it is back.
+TEST_CASE("a store falls silent at any moment and for any time: a table whose "
+          "changes have a bound is read again within 3 s of its return") {
+  constexpr Duration Margin = 1s;      // beyond the wait of a call to the store
+  constexpr Duration PeerAnswer = 1s;  // of a router that knows nothing newer
+  constexpr Duration SilentFrom = 10s; // after the first call
+  for (const bool HasPeers : {false, true})
+    for (Duration Phase{}; Phase < 2s; Phase += 10ms)
+      for (const Duration Silence : {100ms, 1000ms, 2500ms, 4500ms, 12000ms}) {
+        const Duration Back = SilentFrom + Silence;
+        RowSourceChooser Source(boundedFeedWait());
+        Duration Now = Phase;
+        Duration ReadAt{};
+        while (ReadAt < Back) {
+          const bool FromStore = Source.next() == RowSource::Store;
+          const Duration SentAt = Now;
+          const bool Lost = FromStore && SentAt >= SilentFrom && SentAt < Back;
+          Now += FromStore ? Source.wait() + (Lost ? Margin : Duration{})
+                           : PeerAnswer;
+          // A feed that waited before the silence is answered after it.
+          if (FromStore && !Lost && SentAt < SilentFrom && Now > SilentFrom)
+            Now = std::max(Now, Back);
+          if (FromStore && !Lost)
+            ReadAt = Now;
+          Now += Source.onCallEnded(Lost || !FromStore, HasPeers, 20ms);
+        }
+        CAPTURE(HasPeers);
+        CAPTURE(Phase.count());
+        CAPTURE(Silence.count());
+        CHECK(ReadAt - Back <= 3s);
+      }
+}
+
 TEST_CASE("a store that fails is called with a growing backoff") {
   RowSourceChooser WithoutPeers;
   Duration TotalBackoff{};
