Bound the wait of the registry's feed at a store that lost its call

Evidence: the second case of forward_silent_store_test.

The separate bound for stores that state an era goes: it was the same one.

--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -35,11 +35,6 @@
 // router table's feed.
 constexpr Duration RegisterInterval = std::chrono::seconds(1);
 
-// Longest wait of the feeds of configuration and registry at a store that
-// states its era: half of the time after a disturbance in which a change must
-// take effect again.
-constexpr Duration EraCheckWait = std::chrono::milliseconds(1500);
-
 // Interval between two reads of a table of a restored store, until it is known.
 constexpr Duration RefreshInterval = std::chrono::milliseconds(250);
 
@@ -76,6 +71,8 @@
   m_RegistryTable.m_Name = platform::RegistryTable;
   m_RegistryTable.m_ServedByPeers = true;
   m_RegistryTable.m_HasReaders = true;
+  m_RegistryTable.m_Source =
+      decide::RowSourceChooser(decide::boundedFeedWait());
   m_RegistryTable.m_Interval = [this] { return m_State.registryInterval(); };
   m_RegistryTable.m_Apply = [this](const platform::RowBatch &Changes,
                                    RowsKind Kind, decide::RowSource) {
@@ -202,10 +199,6 @@
   Call.m_Source = Table.m_Source.next();
   Call.m_Wait = Table.m_Source.wait();
   Call.m_Interval = Table.m_Interval();
-  // A feed that waits for a number of the era before shows neither that the
-  // store was restored nor what changed since.
-  if (Table.m_ServedByPeers && m_State.m_StoreEra != decide::StoreEra{})
-    Call.m_Wait = std::min(Call.m_Wait, EraCheckWait);
   if (Call.m_Source == decide::RowSource::Peer)
     Call.m_Router = randomPeer();
   return Table.m_HasReaders
--- a/tests/process/forward_silent_store_test.cpp
+++ b/tests/process/forward_silent_store_test.cpp
@@ -63,6 +63,36 @@
   CHECK(Status2 == 200);
 }
 
+TEST_CASE("the store falls silent just after a change of the registry: an "
+          "endpoint that leaves after its return gets no more requests in "
+          "time, and one that is added gets them") {
+  FakePlatform Platform;
+  addDefaultEndpoints(Platform);
+  Router R1(Platform, "r1");
+  Router R2(Platform, "r2");
+  waitUntilKnown(R1, R2);
+  SUBCASE("for all calls") {}
+  SUBCASE("for calls that name the table only") {
+    Platform.limitStoreModeTo("servers");
+  }
+  Platform.setStoreMode(StoreMode::Silent);
+  Platform.republishEntry("b1");
+  std::this_thread::sleep_for(Silence);
+  Platform.setStoreMode(StoreMode::Available);
+  std::this_thread::sleep_for(StableAfter);
+  Platform.addService("b3", "booking");
+  Platform.drain("b1");
+  std::this_thread::sleep_for(DrainTime);
+  const int Before = Platform.receivedRequests("b1");
+  for (int I = 0; I < 20; ++I) {
+    CHECK(lookStatus(R1, "key") == 200);
+    CHECK(lookStatus(R2, "key") == 200);
+  }
+  CAPTURE(R1.log());
+  CHECK(Platform.receivedRequests("b1") == Before);
+  CHECK(Platform.receivedRequests("b3") > 0);
+}
+
 // Guards against a planned stop that waits for an answer which never comes.
 TEST_CASE("the store is silent when a router stops: it stops in time, and "
           "answers its callers until then") {
