Abandon calls that wait long at a store when another call gets no answer

Change: when a call of one feed fails, calls that may wait for longer than the bounded ones are abandoned and sent again with a short wait. An exchange of the HTTP client may be abandoned by a function that it hands out.

Evidence: forward_silent_store_test, "calls wait at it for long". Before, neither router knows the new one 5 s after the store's return; after, both do.

--- a/packages/decide/row_cache.cpp
+++ b/packages/decide/row_cache.cpp
@@ -107,6 +107,15 @@
   return m_MaxWait ? std::min(*m_MaxWait, StoreWait) : StoreWait;
 }
 
+bool RowSourceChooser::waitsLong() const {
+  return !m_UsePeer && wait() > BoundedWait;
+}
+
+Duration RowSourceChooser::onCallAbandoned() {
+  m_StoreFailures = std::max(m_StoreFailures, 1u);
+  return SourceSwitchDelay;
+}
+
 Duration RowSourceChooser::onCallEnded(bool Failed, bool HasPeers,
                                        Duration Interval) {
   const bool WasPeer = m_UsePeer;
--- a/packages/decide/row_cache.h
+++ b/packages/decide/row_cache.h
@@ -112,6 +112,15 @@
   /// success. \returns the time to the next call.
   Duration onCallEnded(bool Failed, bool HasPeers, Duration Interval);
 
+  /// Whether a call to the store that is in progress may go on for long after
+  /// the store stopped answering, so that it is abandoned once another call got
+  /// no answer.
+  bool waitsLong() const;
+
+  /// The call to `next()` was abandoned; the store may have lost it. \returns
+  /// the time to the next call, which waits briefly.
+  Duration onCallAbandoned();
+
 private:
   std::optional<Duration> m_MaxWait;
   unsigned m_StoreFailures = 0; // consecutive
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 namespace mimosadale::forward {
 
@@ -221,8 +222,15 @@
                                                          bool ReadSnapshot) {
   if (Call.fromStore()) {
     m_State.m_Metrics.countEvent("store_call");
-    co_return co_await readFrom(m_State.m_Store, Table, Call.m_Wait,
-                                StoreTimeoutMargin, ReadSnapshot);
+    platform::FeedOptions Feed;
+    Feed.m_Wait = Call.m_Wait;
+    Feed.m_Slack = StoreTimeoutMargin;
+    if (!ReadSnapshot && Table.m_Source.waitsLong())
+      Feed.m_SetAbandon = [&Table](std::function<void()> Abandon) {
+        Table.m_Abandon = std::move(Abandon);
+      };
+    co_return co_await readFrom(m_State.m_Store, Table, std::move(Feed),
+                                ReadSnapshot);
   }
   const auto Router = Call.m_Router
                           ? m_State.m_RoutersByName.find(*Call.m_Router)
@@ -233,19 +241,21 @@
   platform::StoreClient Peer(m_State.m_Client,
                              net::parseAddress(Router->second.m_PeerAddress),
                              PeerTimeout, platform::StoreServer::Router);
-  co_return co_await readFrom(Peer, Table, Call.m_Wait, PeerTimeout,
-                              ReadSnapshot);
+  platform::FeedOptions Feed;
+  Feed.m_Wait = Call.m_Wait;
+  Feed.m_Slack = PeerTimeout;
+  co_return co_await readFrom(Peer, Table, std::move(Feed), ReadSnapshot);
 }
 
 asio::awaitable<platform::RowBatch>
 StoreWatch::readFrom(platform::StoreClient &Server, FollowedTable &Table,
-                     Duration Wait, Duration Margin, bool ReadSnapshot) {
+                     platform::FeedOptions Feed, bool ReadSnapshot) {
   const decide::StoreVersion After = Table.m_Cache.version();
   platform::RowBatch Rows;
   if (ReadSnapshot)
     Rows = co_await Server.readTable(Table.m_Name);
   else
-    Rows = co_await Server.readChanges(Table.m_Name, After, Wait, Margin);
+    Rows = co_await Server.readChanges(Table.m_Name, After, std::move(Feed));
   onEra(Rows.m_Version.era());
   co_return Rows;
 }
@@ -277,11 +287,33 @@
         Gap = After;
       }
     } catch (const Error &Ex) {
-      if (Call.fromStore())
+      if (Call.fromStore() && !Table.m_Abandoned) {
         updateReachable(Table.m_Name, false, Ex.what());
+        abandonLongCalls(Table);
+      }
       Failed = true;
     }
-    co_await sleepFor(m_State.m_Io, intervalAfter(Table, Call, Failed));
+    Table.m_Abandon = nullptr;
+    const bool Abandoned = std::exchange(Table.m_Abandoned, false);
+    co_await sleepFor(m_State.m_Io, Abandoned
+                                        ? Table.m_Source.onCallAbandoned()
+                                        : intervalAfter(Table, Call, Failed));
+  }
+}
+
+// A store that stopped answering has lost the calls that it had taken, and
+// their connections show nothing of it.
+void StoreWatch::abandonLongCalls(const FollowedTable &Failed) {
+  for (FollowedTable *Table :
+       {&m_ConfigTable, &m_RegistryTable, &m_RouterTable}) {
+    if (Table == &Failed || !Table->m_Abandon || Table->m_Abandoned)
+      continue;
+    Table->m_Abandoned = true;
+    m_State.m_Metrics.countEvent("store_call_abandoned");
+    router::logEvent(
+        schema::WARN, "store_call_abandoned",
+        {{"table", Table->m_Name}, {"failed_table", Failed.m_Name}});
+    Table->m_Abandon();
   }
 }
 
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -70,6 +70,10 @@
     bool m_HasReaders = false; // one router may read it for the others
     std::set<boost::asio::steady_timer *> m_Waiters; // for a change
     bool m_Refreshing = false; // a read of the restored table is in progress
+    // Abandons the feed's call to the store; set while one is in progress that
+    // may go on for long.
+    std::function<void()> m_Abandon;
+    bool m_Abandoned = false; // the call in progress
   };
 
   boost::asio::awaitable<void> follow(FollowedTable &Table);
@@ -85,10 +89,11 @@
   boost::asio::awaitable<platform::RowBatch>
   readOnce(FollowedTable &Table, decide::TableRead Call, bool ReadSnapshot);
   boost::asio::awaitable<platform::RowBatch>
-  readFrom(platform::StoreClient &Server, FollowedTable &Table, Duration Wait,
-           Duration Margin, bool ReadSnapshot);
+  readFrom(platform::StoreClient &Server, FollowedTable &Table,
+           platform::FeedOptions Feed, bool ReadSnapshot);
   Duration intervalAfter(FollowedTable &Table, const decide::TableRead &Call,
                          bool Failed);
+  void abandonLongCalls(const FollowedTable &Failed);
   std::string encodeOwnRow() const;
   boost::asio::awaitable<bool> registerSelf(std::string Value);
   std::optional<std::string> randomPeer();
--- a/packages/net/client.cpp
+++ b/packages/net/client.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -62,6 +63,7 @@
   asio::strand<asio::any_io_executor> m_Strand;
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
+  unsigned m_Exchange = 0; // number of the current exchange
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -153,6 +155,7 @@
       if (Parser.get().result_int() / 100 == 1)
         continue;
       Conn->m_Stream.expires_never();
+      ++Conn->m_Exchange;
       // Bytes after the response belong to no request.
       const bool Reusable =
           Parser.get().keep_alive() && Conn->m_Buffer.size() == 0;
@@ -164,6 +167,20 @@
   }
 }
 
+// Returns a function that abandons the exchange which is about to start on \p
+// Conn, and no later one.
+std::function<void()> abandonNext(const ConnectionPtr &Conn) {
+  return [Weak = std::weak_ptr<Connection>(Conn), Exchange = Conn->m_Exchange] {
+    const ConnectionPtr Current = Weak.lock();
+    if (!Current)
+      return;
+    asio::post(Current->m_Strand, [Current, Exchange] {
+      if (Current->m_Exchange == Exchange)
+        Current->m_Stream.close();
+    });
+  };
+}
+
 } // namespace
 
 // The idle connections by server. Its mutex is not part of the lock order:
@@ -212,6 +229,8 @@
                                                    ExchangeOptions Options) {
   const std::shared_ptr<Pool> Connections = m_Pool;
   ConnectionPtr Conn = Connections->acquire(Server, Options.m_NewConnection);
+  if (Options.m_SetAbandon)
+    Options.m_SetAbandon(abandonNext(Conn));
   ExchangeResult Result = co_await asio::co_spawn(
       Conn->m_Strand, sendAndReceive(Conn, Server, std::move(Request), Options),
       asio::use_awaitable);
--- a/packages/net/client.h
+++ b/packages/net/client.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 
 namespace mimosadale::net {
@@ -17,6 +18,9 @@
   Duration m_ConnectTimeout = std::chrono::milliseconds(500);
   bool m_NewConnection = false;           // do not use a pooled connection
   std::size_t m_MaxBodyBytes = 16u << 20; // of the response
+  // If set, receives a function that abandons the exchange, which then fails;
+  // it has no effect once the exchange has ended. Safe from any thread.
+  std::function<void(std::function<void()> Abandon)> m_SetAbandon;
 };
 
 /// Sends HTTP/1.1 requests over pooled connections.
--- a/tests/process/forward_endless_test.cpp
+++ b/tests/process/forward_endless_test.cpp
@@ -200,7 +200,10 @@
           platform::StoreClient Store(Client,
                                       net::parseAddress(Endless.address()), 1s);
           const decide::StoreVersion After({}, 1);
-          co_await Store.readChanges("servers", After, 500ms, 500ms);
+          platform::FeedOptions Feed;
+          Feed.m_Wait = 500ms;
+          Feed.m_Slack = 500ms;
+          co_await Store.readChanges("servers", After, std::move(Feed));
         });
     CHECK(Outcome.m_Failed);
     CHECK(Outcome.m_Elapsed < 3s);
--- a/tests/process/forward_silent_store_test.cpp
+++ b/tests/process/forward_silent_store_test.cpp
@@ -93,6 +93,39 @@
   CHECK(Platform.receivedRequests("b3") > 0);
 }
 
+// A call for changes of the routers' table may wait for 20 s, as no change of
+// it has to take effect in time.
+TEST_CASE("the store falls silent while calls wait at it for long: they are "
+          "sent again once it is back") {
+  FakePlatform Platform;
+  addDefaultEndpoints(Platform);
+  Router R1(Platform, "r1");
+  Router R2(Platform, "r2");
+  waitUntilKnown(R1, R2);
+  Platform.setStoreMode(StoreMode::Silent);
+  Platform.put(
+      platform::RoutersTable, "r3",
+      platform::encodeRouter({"127.0.0.1:1", DataCentreId("fukuoka"), 1}));
+  REQUIRE(harness::waitUntil(
+      [&] { return knownRouterCount(R1) == 3 && knownRouterCount(R2) == 3; }));
+  // Until the next calls have been received, and lost.
+  std::this_thread::sleep_for(1500ms);
+  std::this_thread::sleep_for(Silence);
+  Platform.setStoreMode(StoreMode::Available);
+  Platform.put(
+      platform::RoutersTable, "r4",
+      platform::encodeRouter({"127.0.0.1:2", DataCentreId("fukuoka"), 1}));
+  const auto Known = [](const Router &Asked) {
+    return harness::waitUntil([&] { return knownRouterCount(Asked) == 4; },
+                              StableAfter + ApplyTime);
+  };
+  const bool KnownAtFirst = Known(R1);
+  const bool KnownAtSecond = Known(R2);
+  CAPTURE(R1.log());
+  CHECK(KnownAtFirst);
+  CHECK(KnownAtSecond);
+}
+
 // Guards against a planned stop that waits for an answer which never comes.
 TEST_CASE("the store is silent when a router stops: it stops in time, and "
           "answers its callers until then") {
--- a/tests/unit/row_cache_test.cpp
+++ b/tests/unit/row_cache_test.cpp
@@ -202,6 +202,19 @@
       }
 }
 
+TEST_CASE("a call that may wait for long is abandoned: the next one waits "
+          "briefly, and those after it as before") {
+  RowSourceChooser Source;
+  CHECK(Source.waitsLong());
+  CHECK(Source.onCallAbandoned() < 100ms);
+  CHECK(Source.next() == RowSource::Store);
+  CHECK(Source.wait() < 1s);
+  CHECK_FALSE(Source.waitsLong());
+  Source.onCallEnded(false, false, 20ms);
+  CHECK(Source.waitsLong());
+  CHECK_FALSE(RowSourceChooser(boundedFeedWait()).waitsLong());
+}
+
 TEST_CASE("a store that fails is called with a growing backoff") {
   RowSourceChooser WithoutPeers;
   Duration TotalBackoff{};
