Pause a router that handed a request back for that service only

Cause: `PeerChooser` knew no service. A hand-back kept all requests from that router for 1 s; each request to the service without endpoints was handed back by up to three routers, and with all paused nobody was asked.

Change: pauses are kept by router and service. A hand-back states its cause in a field of its own: an endpoint is lacking (for that service), or the router serves nothing (not ready, stopping: all services). A router of an older version states none and ignores it; then it counts as the former. If all routers are paused, one is asked, the one whose pause ends first, and no second one: what all lack is not asked of each. The choice prefers routers that served the same service.

Unit test, 2 to 335 routers, every fifth request to the service without endpoints: all others are served; in fleets of up to 6 routers a request to it costs one send between routers instead of up to three.

--- a/packages/decide/peer_chooser.cpp
+++ b/packages/decide/peer_chooser.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Time for which a router gets no request after it handed one back: engines
-// that were lost have been replaced by then.
+// Time for which a router gets no request of a service after it handed one
+// back: engines that were lost have been replaced by then.
 constexpr Duration HandBackPause = std::chrono::milliseconds(1000);
 
 // The same after it gave no answer.
@@ -23,72 +23,121 @@
 constexpr Duration ServedLifetime = std::chrono::milliseconds(3000);
 constexpr double ExploringShare = 0.1;
 
+// Distances of a router: this data centre, another one, one that handed the
+// request back. Three groups of these, and the silent routers.
+constexpr std::size_t Distances = 3;
+constexpr std::size_t Ranks = 3 * Distances + 1;
+
 } // namespace
 
 void PeerChooser::setRouters(const std::map<PeerId, DataCentreId> &Routers) {
-  m_Routers = Routers;
-  for (auto *Times : {&m_SkippedUntil, &m_ServedAt, &m_SilentAt})
-    std::erase_if(*Times, [this](const auto &Item) {
-      return !m_Routers.contains(Item.first);
-    });
+  std::erase_if(m_Routers, [&](const auto &Item) {
+    return !Routers.contains(Item.first);
+  });
+  for (const auto &[Router, DataCentre] : Routers)
+    m_Routers[Router].m_DataCentre = DataCentre;
+}
+
+// Those that served the service lately come before those that served another
+// one, and these before the rest, nearer ones first; silent ones come last.
+std::size_t PeerChooser::rank(const RouterRecord &Router,
+                              const Record &AtService, std::size_t Distance,
+                              bool Explores, Instant Now) {
+  const auto ServedLately = [&](const Record &Served) {
+    return !Explores && Now - Served.m_ServedAt < ServedLifetime;
+  };
+  if (Now - Router.m_AllServices.m_SilentAt < SilenceLifetime)
+    return Ranks - 1;
+  const std::size_t Group = ServedLately(AtService)              ? 0
+                            : ServedLately(Router.m_AllServices) ? 1
+                                                                 : 2;
+  return Group * Distances + Distance;
 }
 
-std::optional<PeerId> PeerChooser::choose(const DataCentreId &Local,
+std::optional<PeerId> PeerChooser::choose(const ServiceId &Service,
+                                          const DataCentreId &Local,
                                           const std::set<PeerId> &Tried,
                                           Instant Now, Random &Rng) const {
   // A whole data centre may be cut off: the next try is outside of it.
   std::set<DataCentreId> Avoided;
   for (const PeerId &Router : Tried)
     if (const auto Known = m_Routers.find(Router); Known != m_Routers.end())
-      Avoided.insert(Known->second);
-  // Those that served lately before the others, nearer ones first.
-  constexpr std::size_t Distances = 3;
-  std::array<std::vector<PeerId>, 2 * Distances + 1> Ranked;
+      Avoided.insert(Known->second.m_DataCentre);
+  std::array<std::vector<PeerId>, Ranks> Ranked;
+  std::optional<PeerId> FirstToReturn;
+  Instant ReturnsAt = Instant::max();
   const bool Explores = Tried.empty() && std::uniform_real_distribution<double>(
                                              0, 1)(Rng) < ExploringShare;
-  for (const auto &[Router, DataCentre] : m_Routers) {
-    const auto Skipped = m_SkippedUntil.find(Router);
-    if (Tried.contains(Router) ||
-        (Skipped != m_SkippedUntil.end() && Now < Skipped->second))
+  for (const auto &[Name, Router] : m_Routers) {
+    if (Tried.contains(Name))
       continue;
-    const auto Served = m_ServedAt.find(Router);
-    const bool Serves = !Explores && Served != m_ServedAt.end() &&
-                        Now - Served->second < ServedLifetime;
-    const std::size_t Distance = Avoided.contains(DataCentre) ? 2
-                                 : DataCentre == Local        ? 0
-                                                              : 1;
-    const auto Silent = m_SilentAt.find(Router);
-    const bool IsSilent =
-        Silent != m_SilentAt.end() && Now - Silent->second < SilenceLifetime;
-    Ranked[IsSilent ? Ranked.size() - 1 : (Serves ? 0 : Distances) + Distance]
-        .push_back(Router);
+    const auto Known = Router.m_ByService.find(Service);
+    const Record AtService =
+        Known == Router.m_ByService.end() ? Record() : Known->second;
+    const Instant PausedUntil =
+        std::max(Router.m_AllServices.m_PausedUntil, AtService.m_PausedUntil);
+    if (Now < PausedUntil) {
+      if (PausedUntil < ReturnsAt) {
+        ReturnsAt = PausedUntil;
+        FirstToReturn = Name;
+      }
+      continue;
+    }
+    const std::size_t Distance = Avoided.contains(Router.m_DataCentre) ? 2
+                                 : Router.m_DataCentre == Local        ? 0
+                                                                       : 1;
+    Ranked[rank(Router, AtService, Distance, Explores, Now)].push_back(Name);
   }
   for (const std::vector<PeerId> &From : Ranked)
     if (!From.empty())
       return From[std::uniform_int_distribution<std::size_t>(0, From.size() -
                                                                     1)(Rng)];
-  return std::nullopt;
+  // What all of them lacked need not be asked of each.
+  return Tried.empty() ? FirstToReturn : std::nullopt;
+}
+
+void PeerChooser::onServed(const PeerId &Router, const ServiceId &Service,
+                           Instant Now) {
+  const auto Known = m_Routers.find(Router);
+  if (Known == m_Routers.end())
+    return;
+  Known->second.m_AllServices.m_ServedAt = Now;
+  Record &AtService = Known->second.m_ByService[Service];
+  AtService.m_ServedAt = Now;
+  AtService.m_PausedUntil = Never;
 }
 
-void PeerChooser::onServed(const PeerId &Router, Instant Now) {
-  m_ServedAt[Router] = Now;
+void PeerChooser::pause(Record &Paused, Instant Until) {
+  Paused.m_ServedAt = Never;
+  Paused.m_PausedUntil = std::max(Paused.m_PausedUntil, Until);
 }
 
-void PeerChooser::onHandedBack(const PeerId &Router, Instant Now) {
-  m_ServedAt.erase(Router);
-  Instant &Until = m_SkippedUntil[Router];
-  Until = std::max(Until, Now + HandBackPause);
+void PeerChooser::onHandedBack(const PeerId &Router, const ServiceId &Service,
+                               HandBackCause Cause, Instant Now) {
+  const auto Known = m_Routers.find(Router);
+  if (Known == m_Routers.end())
+    return;
+  if (Cause == HandBackCause::Router)
+    pause(Known->second.m_AllServices, Now + HandBackPause);
+  pause(Known->second.m_ByService[Service], Now + HandBackPause);
 }
 
 void PeerChooser::onFailed(const PeerId &Router, Instant Now) {
-  m_ServedAt.erase(Router);
-  Instant &Until = m_SkippedUntil[Router];
-  Until = std::max(Until, Now + FailurePause);
+  const auto Known = m_Routers.find(Router);
+  if (Known == m_Routers.end())
+    return;
+  pause(Known->second.m_AllServices, Now + FailurePause);
+  for (auto &[Service, AtService] : Known->second.m_ByService)
+    AtService.m_ServedAt = Never;
 }
 
 void PeerChooser::onSilent(const PeerId &Router, Instant Now) {
-  m_ServedAt.erase(Router);
-  m_SilentAt[Router] = Now;
+  const auto Known = m_Routers.find(Router);
+  if (Known == m_Routers.end())
+    return;
+  Record &AllServices = Known->second.m_AllServices;
+  AllServices.m_ServedAt = Never;
+  AllServices.m_SilentAt = Now;
 }
 
 } // namespace mimosadale::decide
--- a/packages/decide/peer_chooser.h
+++ b/packages/decide/peer_chooser.h
@@ -6,15 +6,23 @@
 #include "base/units.h"
 #include "decide/path_chooser.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
 
 namespace mimosadale::decide {
 
-/// Routers that requests are handed to. One that handed a request back, or gave
-/// no answer, gets no other one for a while, so that the routers that serve are
-/// found without an exchange: a request costs one round trip a wrong guess.
+/// What a router lacks that handed a request back.
+enum class HandBackCause {
+  Endpoint, // one for the service of the request, now
+  Router    // it is not ready or stops, so that it serves no request
+};
+
+/// Routers that requests are handed to. One that handed a request back gets no
+/// other one of the same service for a while, and one that serves nothing or
+/// gave no answer none at all, so that the routers that serve are found without
+/// an exchange: a request costs one round trip a wrong guess.
 ///
 /// \par Thread safety
 /// None.
@@ -23,18 +31,22 @@
   /// Sets the other routers with their data centres.
   void setRouters(const std::map<PeerId, DataCentreId> &Routers);
 
-  /// Draws a router outside \p Tried: mostly one that served lately, of \p
-  /// Local if there is one, and rather not of a data centre of one in \p Tried.
-  /// None if there is none.
-  std::optional<PeerId> choose(const DataCentreId &Local,
+  /// Draws a router outside \p Tried for a request to \p Service: mostly one
+  /// that served that service lately, of \p Local if there is one, and rather
+  /// not of a data centre of one in \p Tried. If all are paused, the one whose
+  /// pause ends first, unless the request was handed to one already. None if
+  /// there is none.
+  std::optional<PeerId> choose(const ServiceId &Service,
+                               const DataCentreId &Local,
                                const std::set<PeerId> &Tried, Instant Now,
                                Random &Rng) const;
 
-  /// \p Router served a request.
-  void onServed(const PeerId &Router, Instant Now);
+  /// \p Router served a request to \p Service.
+  void onServed(const PeerId &Router, const ServiceId &Service, Instant Now);
 
-  /// No endpoint ran a request at \p Router.
-  void onHandedBack(const PeerId &Router, Instant Now);
+  /// No endpoint ran a request to \p Service at \p Router.
+  void onHandedBack(const PeerId &Router, const ServiceId &Service,
+                    HandBackCause Cause, Instant Now);
 
   /// \p Router could not be connected to, or broke off.
   void onFailed(const PeerId &Router, Instant Now);
@@ -44,10 +56,26 @@
   void onSilent(const PeerId &Router, Instant Now);
 
 private:
-  std::map<PeerId, DataCentreId> m_Routers;
-  std::map<PeerId, Instant> m_SkippedUntil;
-  std::map<PeerId, Instant> m_ServedAt;
-  std::map<PeerId, Instant> m_SilentAt;
+  // Before any moment of a router's life.
+  static constexpr Instant Never{-std::chrono::hours(24)};
+
+  // What is known of a router, or of a service there.
+  struct Record {
+    Instant m_PausedUntil = Never;
+    Instant m_ServedAt = Never;
+    Instant m_SilentAt = Never;
+  };
+  struct RouterRecord {
+    DataCentreId m_DataCentre;
+    Record m_AllServices;
+    std::map<ServiceId, Record> m_ByService;
+  };
+
+  static std::size_t rank(const RouterRecord &Router, const Record &AtService,
+                          std::size_t Distance, bool Explores, Instant Now);
+  void pause(Record &Paused, Instant Until);
+
+  std::map<PeerId, RouterRecord> m_Routers;
 };
 
 } // namespace mimosadale::decide
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -242,7 +242,7 @@
                         "attempt aborted while connecting");
   m_EndpointsLeft = m_Run->endpointsLeft();
   if (!To.m_Router.empty())
-    m_PeersTried.insert(To.m_Router);
+    onHandOver(To.m_Router);
   else
     countFirstAttempt();
   m_Run->beforeAttempt(To.m_Endpoint);
@@ -262,6 +262,11 @@
   co_return co_await relay(Source, std::move(Head));
 }
 
+void ForwardCall::onHandOver(const PeerId &Router) {
+  m_PeersTried.insert(Router);
+  m_State.m_Metrics.countEvent("handed_over");
+}
+
 // Relays the answer of another router as it is, its refusals too, unless it
 // hands the request back.
 asio::awaitable<std::optional<ForwardAction>>
@@ -274,7 +279,8 @@
   const platform::ResponseHeaders Announced =
       platform::decodeResponseHeaders(Head);
   if (!SendsThere)
-    m_State.m_PeerChooser.onServed(m_Target.m_Router, ForwardState::now());
+    m_State.m_PeerChooser.onServed(m_Target.m_Router, m_Service,
+                                   ForwardState::now());
   if (Announced.m_IsEventStream && Head.m_Status == 200) {
     if (!m_Run->headDelivered()) {
       m_Run->onHeadDelivered();
@@ -284,7 +290,9 @@
   }
   co_await readBody(Upstream, Answer.m_Body);
   if (SendsThere) {
-    m_State.m_PeerChooser.onHandedBack(m_Target.m_Router, ForwardState::now());
+    m_State.m_PeerChooser.onHandedBack(m_Target.m_Router, m_Service,
+                                       parseHandBackCause(Head),
+                                       ForwardState::now());
     // What endpoints have refused there counts as sent.
     co_return onFault(*SendsThere == 0 ? AttemptFault::NotSent
                                        : AttemptFault::ReportedNotRun);
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -37,12 +37,21 @@
 // fraction of the shortest stall that triggers an action.
 constexpr Duration ChainCheckInterval = std::chrono::milliseconds(50);
 
-// Whether another router may serve the request that this one refuses.
-bool isHandedBack(const decide::Refusal &Refusal) {
-  const schema::Reason Reason = Refusal.reason();
-  return Refusal.runState() == schema::NOT_RUN &&
-         (Reason == schema::NO_ENDPOINT || Reason == schema::NOT_READY ||
-          Reason == schema::DRAINING);
+// Why another router may serve the request that this one refuses; none if it
+// may not.
+std::optional<decide::HandBackCause>
+handBackCause(const decide::Refusal &Refusal) {
+  if (Refusal.runState() != schema::NOT_RUN)
+    return std::nullopt;
+  switch (Refusal.reason()) {
+  case schema::NO_ENDPOINT:
+    return decide::HandBackCause::Endpoint;
+  case schema::NOT_READY:
+  case schema::DRAINING:
+    return decide::HandBackCause::Router;
+  default:
+    return std::nullopt;
+  }
 }
 
 } // namespace
@@ -313,9 +322,10 @@
   if (!m_RequestHeaders.m_Id.empty())
     Response.m_Headers.push_back(
         {platform::RequestIdHeader, m_RequestHeaders.m_Id.str()});
-  if (m_Sender == Sender::Router && isHandedBack(Refusal)) {
+  const auto Cause = handBackCause(Refusal);
+  if (m_Sender == Sender::Router && Cause) {
     m_State.m_Metrics.countEvent("handed_back");
-    markHandedBack(Response, m_Run ? m_Run->attempts() : 0);
+    markHandedBack(Response, m_Run ? m_Run->attempts() : 0, *Cause);
   }
   logOutcome(router::reasonName(Refusal.reason()), Response.m_Status);
   co_await m_Exchange.respond(std::move(Response));
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -67,6 +67,7 @@
   std::optional<Target> chooseEndpoint();
   std::optional<Target> choosePeer();
   bool mayHandOver() const;
+  void onHandOver(const PeerId &Router);
   std::optional<Target> chooseChain();
   Target targetOf(const decide::Chain &Chain) const;
   std::optional<Target> choosePlainTarget();
--- a/packages/forward/forward_selection.cpp
+++ b/packages/forward/forward_selection.cpp
@@ -44,7 +44,7 @@
   if (!mayHandOver())
     return std::nullopt;
   const auto Router = m_State.m_PeerChooser.choose(
-      DataCentreId(m_State.m_Settings.data_centre()), m_PeersTried,
+      m_Service, DataCentreId(m_State.m_Settings.data_centre()), m_PeersTried,
       ForwardState::now(), m_State.m_Random);
   if (!Router)
     return std::nullopt;
--- a/packages/forward/hand_over.cpp
+++ b/packages/forward/hand_over.cpp
@@ -9,6 +9,11 @@
 
 constexpr const char *HandedOverHeader = "Mimosadale-Handed-Over";
 constexpr const char *HandedBackHeader = "Mimosadale-Handed-Back";
+constexpr const char *HandBackCauseHeader = "Mimosadale-Hand-Back-Cause";
+
+// Values of the header above; `endpoint` may be left out.
+constexpr const char *EndpointCause = "endpoint";
+constexpr const char *RouterCause = "router";
 
 // Follows the number in the mark of a request that no router has counted yet.
 constexpr const char *NotCountedSuffix = ";not-counted";
@@ -48,8 +53,18 @@
                            .ends_with(NotCountedSuffix)};
 }
 
-void markHandedBack(net::HttpResponse &Refusal, unsigned Sends) {
+void markHandedBack(net::HttpResponse &Refusal, unsigned Sends,
+                    decide::HandBackCause Cause) {
   Refusal.m_Headers.push_back({HandedBackHeader, std::to_string(Sends)});
+  Refusal.m_Headers.push_back(
+      {HandBackCauseHeader,
+       Cause == decide::HandBackCause::Router ? RouterCause : EndpointCause});
+}
+
+decide::HandBackCause parseHandBackCause(const net::HttpResponse &Answer) {
+  return net::findHeader(Answer.m_Headers, HandBackCauseHeader) == RouterCause
+             ? decide::HandBackCause::Router
+             : decide::HandBackCause::Endpoint;
 }
 
 std::optional<unsigned> parseHandedBack(const net::HttpResponse &Answer) {
@@ -58,6 +73,7 @@
 
 void dropHandedBack(net::HttpResponse &Answer) {
   dropHeader(Answer.m_Headers, HandedBackHeader);
+  dropHeader(Answer.m_Headers, HandBackCauseHeader);
 }
 
 } // namespace mimosadale::forward
--- a/packages/forward/hand_over.h
+++ b/packages/forward/hand_over.h
@@ -2,6 +2,7 @@
 #ifndef MIMOSADALE_FORWARD_HAND_OVER_H
 #define MIMOSADALE_FORWARD_HAND_OVER_H
 
+#include "decide/peer_chooser.h"
 #include "net/http.h"
 
 #include <optional>
@@ -28,12 +29,17 @@
 /// Marks the refusal of such a request as that of a router for which no
 /// endpoint runs it: another router may find one. \param Sends the number of
 /// endpoints that it was sent to, all of which refused it as not run.
-void markHandedBack(net::HttpResponse &Refusal, unsigned Sends);
+void markHandedBack(net::HttpResponse &Refusal, unsigned Sends,
+                    decide::HandBackCause Cause);
 
 /// The number of sends that \p Answer names; none if it is no such refusal. A
 /// malformed number counts as 0.
 std::optional<unsigned> parseHandedBack(const net::HttpResponse &Answer);
 
+/// Why \p Answer hands the request back. A cause that is not stated, as by
+/// routers of an older version, or not known is that of an endpoint.
+decide::HandBackCause parseHandBackCause(const net::HttpResponse &Answer);
+
 /// Removes the mark of a refusal from an endpoint's \p Answer: endpoints must
 /// not speak for routers.
 void dropHandedBack(net::HttpResponse &Answer);
--- a/tests/process/forward_hand_over_test.cpp
+++ b/tests/process/forward_hand_over_test.cpp
@@ -244,6 +244,39 @@
   }
 }
 
+// Guards against all requests being kept from a router because it handed back
+// one to a service that no router has an endpoint for.
+TEST_CASE("a router is cut off, and a service has no endpoint anywhere: its "
+          "callers of other services are served") {
+  Beside Routers;
+  for (FakePlatform *Platform : {&Routers.m_Cut, &Routers.m_Sound}) {
+    Platform->addRoute({{"Name", "ledger"},
+                        {"Host", harness::loopbackIp()},
+                        {"Prefix", "/ledger/"},
+                        {"RouteType", "idempotent"},
+                        {"TimeoutMs", 2000},
+                        {"Service", "ledger"},
+                        {"MaxAttempts", 3}});
+    Platform->configure(2);
+  }
+  Routers.cut();
+  Routers.sendUntilNoticed();
+  CAPTURE(Routers.m_First->log());
+  constexpr int Requests = 20;
+  const unsigned Before = eventCount(*Routers.m_First, "handed_over");
+  for (int I = 0; I < Requests; ++I) {
+    const std::string Id = std::to_string(I);
+    const net::HttpResponse Refused = Routers.call("/ledger/a", "ledger" + Id);
+    CHECK(Refused.m_Status == 503);
+    CHECK_FALSE(net::findHeader(Refused.m_Headers, "Retry-After").empty());
+    CHECK(Routers.call("/look/a", "l" + Id).m_Status == 200);
+    CHECK(Routers.call("/book/a", "b" + Id).m_Status == 200);
+    CHECK(Routers.stream("s" + Id) == 40);
+  }
+  // Each request to the service without endpoints is handed over once at most.
+  CHECK(eventCount(*Routers.m_First, "handed_over") - Before <= 4 * Requests);
+}
+
 // Guards against a retry budget that grows with each router that a request is
 // handed to.
 TEST_CASE("a router that is cut off hands requests over, and gets some of them "
--- a/tests/unit/hand_over_fleet_test.cpp
+++ b/tests/unit/hand_over_fleet_test.cpp
@@ -30,6 +30,7 @@
 constexpr Duration HangTime = 300ms;
 constexpr Duration RoundTrip = 5ms;
 constexpr std::size_t MaxPeers = 3;
+const ServiceId Service("guide");
 
 // How the connections of a router that is cut off fail.
 enum class CutKind { Hang, Refuse, LiveOn };
@@ -186,8 +187,8 @@
       return true;
     std::set<PeerId> Tried;
     while (Now < GiveUpAt && Tried.size() < MaxPeers) {
-      const auto Peer =
-          Router.m_Chooser.choose(Router.m_DataCentre, Tried, Now, m_Rng);
+      const auto Peer = Router.m_Chooser.choose(Service, Router.m_DataCentre,
+                                                Tried, Now, m_Rng);
       if (!Peer)
         break;
       Tried.insert(*Peer);
@@ -195,10 +196,11 @@
       Now += RoundTrip;
       // A router that got a request from another one does not hand it on.
       if (sendToEndpoints(find(*Peer), Now, GiveUpAt)) {
-        Router.m_Chooser.onServed(*Peer, Now);
+        Router.m_Chooser.onServed(*Peer, Service, Now);
         return Now < GiveUpAt;
       }
-      Router.m_Chooser.onHandedBack(*Peer, Now);
+      Router.m_Chooser.onHandedBack(*Peer, Service, HandBackCause::Endpoint,
+                                    Now);
     }
     return false;
   }
--- a/tests/unit/hand_over_test.cpp
+++ b/tests/unit/hand_over_test.cpp
@@ -25,10 +25,15 @@
     "an endpoint's answer is marked as handed back: the mark is removed") {
   net::HttpResponse Answer;
   CHECK_FALSE(parseHandedBack(Answer));
-  markHandedBack(Answer, 0);
-  CHECK(parseHandedBack(Answer) == 0);
-  dropHandedBack(Answer);
-  CHECK_FALSE(parseHandedBack(Answer));
+  for (const auto Cause :
+       {decide::HandBackCause::Endpoint, decide::HandBackCause::Router}) {
+    markHandedBack(Answer, 0, Cause);
+    CHECK(parseHandedBack(Answer) == 0);
+    CHECK(parseHandBackCause(Answer) == Cause);
+    dropHandedBack(Answer);
+    CHECK_FALSE(parseHandedBack(Answer));
+    CHECK(Answer.m_Headers.empty());
+  }
 }
 
 TEST_CASE("a malformed count in the mark of a hand-over counts as none left") {
@@ -36,3 +41,14 @@
   Request.m_Headers = {{"Mimosadale-Handed-Over", "many"}};
   CHECK(parseHandedOver(Request) == HandOverMark{0, true});
 }
+
+// Routers of the version before name no cause; later ones may name others.
+TEST_CASE("a request is handed back without a known cause: that router gets "
+          "those to other services") {
+  net::HttpResponse Answer;
+  Answer.m_Headers = {{"Mimosadale-Handed-Back", "0"}};
+  CHECK(parseHandedBack(Answer) == 0);
+  CHECK(parseHandBackCause(Answer) == decide::HandBackCause::Endpoint);
+  Answer.m_Headers.push_back({"Mimosadale-Hand-Back-Cause", "of-later-times"});
+  CHECK(parseHandBackCause(Answer) == decide::HandBackCause::Endpoint);
+}
--- a/tests/unit/peer_chooser_test.cpp
+++ b/tests/unit/peer_chooser_test.cpp
@@ -14,6 +14,8 @@
 const DataCentreId There("there");
 const PeerId Near("near");
 const PeerId Far("far");
+const ServiceId Guide("guide");
+const ServiceId Ledger("ledger");
 
 } // namespace
 
@@ -21,17 +23,17 @@
           "a request back is skipped for a second") {
   PeerChooser Chooser;
   Random Rng(1);
-  CHECK_FALSE(Chooser.choose(Here, {}, T0, Rng));
+  CHECK_FALSE(Chooser.choose(Guide, Here, {}, T0, Rng));
   Chooser.setRouters({{Near, Here}, {Far, There}});
-  CHECK(Chooser.choose(Here, {}, T0, Rng) == Near);
-  CHECK(Chooser.choose(Here, {Near}, T0, Rng) == Far);
-  CHECK_FALSE(Chooser.choose(Here, {Near, Far}, T0, Rng));
-  Chooser.onHandedBack(Near, T0);
-  CHECK(Chooser.choose(Here, {}, T0 + 900ms, Rng) == Far);
-  CHECK(Chooser.choose(Here, {}, T0 + 1s, Rng) == Near);
+  CHECK(Chooser.choose(Guide, Here, {}, T0, Rng) == Near);
+  CHECK(Chooser.choose(Guide, Here, {Near}, T0, Rng) == Far);
+  CHECK_FALSE(Chooser.choose(Guide, Here, {Near, Far}, T0, Rng));
+  Chooser.onHandedBack(Near, Guide, HandBackCause::Endpoint, T0);
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 900ms, Rng) == Far);
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 1s, Rng) == Near);
   Chooser.onFailed(Near, T0 + 1s);
-  CHECK(Chooser.choose(Here, {}, T0 + 3900ms, Rng) == Far);
-  CHECK(Chooser.choose(Here, {}, T0 + 4s, Rng) == Near);
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 3900ms, Rng) == Far);
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 4s, Rng) == Near);
 }
 
 TEST_CASE("a router is silent: others come first for a while, but it is still "
@@ -39,11 +41,11 @@
   PeerChooser Chooser;
   Random Rng(1);
   Chooser.setRouters({{Near, Here}, {Far, There}});
-  Chooser.onServed(Near, T0);
+  Chooser.onServed(Near, Guide, T0);
   Chooser.onSilent(Near, T0);
-  CHECK(Chooser.choose(Here, {}, T0 + 2900ms, Rng) == Far);
-  CHECK(Chooser.choose(Here, {Far}, T0, Rng) == Near);
-  CHECK(Chooser.choose(Here, {}, T0 + 3s, Rng) == Near);
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 2900ms, Rng) == Far);
+  CHECK(Chooser.choose(Guide, Here, {Far}, T0, Rng) == Near);
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 3s, Rng) == Near);
 }
 
 // Guards against callers of stranded routers being refused while others serve.
@@ -72,16 +74,16 @@
           const Instant Now = T0 + I * 20ms;
           std::set<PeerId> Tried;
           while (Tried.size() < 3) {
-            const auto Peer = Chooser.choose(Here, Tried, Now, Rng);
+            const auto Peer = Chooser.choose(Guide, Here, Tried, Now, Rng);
             if (!Peer)
               break;
             Tried.insert(*Peer);
             if (!Stranded.contains(*Peer)) {
-              Chooser.onServed(*Peer, Now);
+              Chooser.onServed(*Peer, Guide, Now);
               ++Served;
               break;
             }
-            Chooser.onHandedBack(*Peer, Now);
+            Chooser.onHandedBack(*Peer, Guide, HandBackCause::Endpoint, Now);
           }
         }
         CAPTURE(Count);
@@ -92,3 +94,71 @@
         CHECK(Served * 3 >= Requests * 2);
       }
 }
+
+// Guards against callers of a sound service being refused because requests to
+// another service, which has no endpoint, were handed back.
+TEST_CASE(
+    "a service has no endpoint anywhere: requests to it are handed to one "
+    "router each at most, and those to other services are all served") {
+  for (const std::size_t Count : {2u, 3u, 6u, 76u, 335u}) {
+    Random Rng(1);
+    std::map<PeerId, DataCentreId> Routers;
+    for (std::size_t I = 1; I < Count; ++I)
+      Routers[PeerId("r" + std::to_string(I))] = I % 3 ? There : Here;
+    PeerChooser Chooser; // of r0, which reaches no endpoint
+    Chooser.setRouters(Routers);
+    int Served = 0;
+    std::size_t LedgerSends = 0;
+    constexpr int Requests = 2000;
+    constexpr int LedgerShare = 5;
+    for (int I = 0; I < Requests; ++I) {
+      const Instant Now = T0 + I * 5ms;
+      const bool ToLedger = I % LedgerShare == 0;
+      const ServiceId &Service = ToLedger ? Ledger : Guide;
+      std::set<PeerId> Tried;
+      while (Tried.size() < 3) {
+        const auto Peer = Chooser.choose(Service, Here, Tried, Now, Rng);
+        if (!Peer)
+          break;
+        Tried.insert(*Peer);
+        if (!ToLedger) {
+          Chooser.onServed(*Peer, Service, Now);
+          ++Served;
+          break;
+        }
+        Chooser.onHandedBack(*Peer, Service, HandBackCause::Endpoint, Now);
+        ++LedgerSends;
+      }
+    }
+    CAPTURE(Count);
+    CHECK(Served == Requests - Requests / LedgerShare);
+    // Each router once a second finds out more than the one that is asked.
+    CHECK(LedgerSends <= Requests / LedgerShare * 3);
+    if (Count <= 6)
+      CHECK(LedgerSends <= Requests / LedgerShare + 10 * Count);
+  }
+}
+
+TEST_CASE("a router is not ready: it gets no request of any service while "
+          "another one may serve, and is asked again if none may") {
+  PeerChooser Chooser;
+  Random Rng(1);
+  Chooser.setRouters({{Near, Here}, {Far, There}});
+  Chooser.onHandedBack(Near, Ledger, HandBackCause::Router, T0);
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 900ms, Rng) == Far);
+  Chooser.onHandedBack(Far, Guide, HandBackCause::Endpoint, T0 + 100ms);
+  CHECK(Chooser.choose(Ledger, Here, {}, T0 + 900ms, Rng) == Far);
+  // Near's pause ends first.
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 900ms, Rng) == Near);
+  CHECK_FALSE(Chooser.choose(Guide, Here, {Near}, T0 + 900ms, Rng));
+}
+
+TEST_CASE("a router that fails for a moment is the only other one: requests "
+          "that it may serve again are handed to it") {
+  PeerChooser Chooser;
+  Random Rng(1);
+  Chooser.setRouters({{Near, Here}});
+  Chooser.onFailed(Near, T0);
+  CHECK(Chooser.choose(Guide, Here, {}, T0 + 1s, Rng) == Near);
+  CHECK_FALSE(Chooser.choose(Guide, Here, {Near}, T0 + 1s, Rng));
+}
