Keep the configuration in force while operators write lost ones again

Cause: `RouteTableHolder` took a lower version of a later era as the last word if nothing newer followed within 1 s. Its reason was an operator who goes back. Each version in force was acknowledged, so it is written again; lower ones are steps on the way.

Change: a lower version is never adopted, however long it stays the newest. The wait and its timer go.

--- a/packages/decide/route_table.cpp
+++ b/packages/decide/route_table.cpp
@@ -4,14 +4,6 @@
 
 namespace mimosadale::decide {
 
-namespace {
-
-// Longest time between two configurations that operators write again after the
-// store lost them: half of the time in which a change must take effect.
-constexpr Duration RewriteInterval = std::chrono::milliseconds(1000);
-
-} // namespace
-
 std::string normalizeHost(std::string_view Host) {
   std::string Name(Host.substr(0, Host.rfind(':')));
   std::transform(
@@ -79,37 +71,22 @@
 }
 
 ConfigStep RouteTableHolder::offer(RoutingConfig Config, StoreVersion Row,
-                                   ConfigOrigin Origin, Instant Now) {
+                                   ConfigOrigin Origin) {
   const std::uint64_t Version = Config.m_Version;
-  if (!m_Current || Version > m_Current->config().m_Version) {
+  if (adopt(std::move(Config))) {
     m_Row = Row;
-    m_Awaited.reset();
-    adopt(std::move(Config));
     return ConfigStep::Adopted;
   }
   if (Row.era() <= m_Row.era())
     return ConfigStep::NotNewer;
+  if (Version == m_Current->config().m_Version) {
+    m_Row = Row;
+    return ConfigStep::NotNewer;
+  }
   if (Origin == ConfigOrigin::RestoredCopy)
     m_CopyRow = Row;
   // The same row is read again with each snapshot.
-  if (Row != m_CopyRow) {
-    m_Awaited = Awaited{std::move(Config), Row, Now + RewriteInterval};
-    return ConfigStep::AwaitsNewer;
-  }
-  if (Version < m_Current->config().m_Version)
-    return ConfigStep::KeptOverCopy;
-  m_Row = Row;
-  return ConfigStep::NotNewer;
-}
-
-bool RouteTableHolder::adoptAwaited(Instant Now) {
-  if (!m_Awaited || Now < m_Awaited->m_Until)
-    return false;
-  m_Row = m_Awaited->m_Row;
-  m_Current =
-      std::make_shared<const RouteTable>(std::move(m_Awaited->m_Config));
-  m_Awaited.reset();
-  return true;
+  return Row == m_CopyRow ? ConfigStep::KeptOverCopy : ConfigStep::AwaitsNewer;
 }
 
 } // namespace mimosadale::decide
--- a/packages/decide/route_table.h
+++ b/packages/decide/route_table.h
@@ -73,13 +73,13 @@
   Adopted,
   NotNewer,
   KeptOverCopy, // a restored store holds an older one than that in force
-  AwaitsNewer   // operators wrote an older one again; newer ones may follow
+  AwaitsNewer   // operators wrote an older one again; that in force follows
 };
 
-/// Holds the configuration in force: the one with the greatest version. What
-/// callers see never goes back because the store came back from an older copy;
-/// it goes back if operators write an older version after that, and nothing
-/// newer.
+/// Holds the configuration in force: the one with the greatest version. It
+/// never goes back, also if the store came back from an older copy: operators
+/// write again what was lost, one by one, and the versions on the way to that
+/// in force are not adopted, however long they stay the newest.
 ///
 /// \par Thread safety
 /// None.
@@ -90,28 +90,16 @@
   bool adopt(RoutingConfig Config);
 
   /// Decides on \p Config, read from the row with version \p Row.
-  ConfigStep offer(RoutingConfig Config, StoreVersion Row, ConfigOrigin Origin,
-                   Instant Now);
-
-  /// Adopts the configuration that awaits newer ones if none came in time.
-  /// \returns whether it was adopted.
-  bool adoptAwaited(Instant Now);
+  ConfigStep offer(RoutingConfig Config, StoreVersion Row, ConfigOrigin Origin);
 
   /// The current table, or null before the first configuration. A request keeps
   /// the table that it started with.
   const std::shared_ptr<const RouteTable> &current() const { return m_Current; }
 
 private:
-  struct Awaited {
-    RoutingConfig m_Config;
-    StoreVersion m_Row;
-    Instant m_Until{};
-  };
-
   std::shared_ptr<const RouteTable> m_Current;
   StoreVersion m_Row;     // that the current one was read from
   StoreVersion m_CopyRow; // of the configuration that a restored store held
-  std::optional<Awaited> m_Awaited;
 };
 
 } // namespace mimosadale::decide
--- a/packages/forward/store_watch.cpp
+++ b/packages/forward/store_watch.cpp
@@ -43,10 +43,6 @@
 // the writes that the smallest store takes.
 constexpr Duration RewriteDelayPerRouter = std::chrono::milliseconds(25);
 
-// Delay of the check for a configuration that awaits newer ones: just above the
-// time for which it does.
-constexpr Duration AwaitedConfigCheckDelay = std::chrono::milliseconds(1050);
-
 // Returns the lease rank of \p Self among the routers.
 std::size_t rankOf(const std::vector<std::string> &Names,
                    const std::string &Self) {
@@ -527,8 +523,8 @@
     try {
       decide::RoutingConfig NewConfig = platform::decodeConfig(Row.m_Value);
       const std::uint64_t Version = NewConfig.m_Version;
-      const decide::ConfigStep Step = m_State.m_Routes.offer(
-          std::move(NewConfig), Row.m_Version, Origin, ForwardState::now());
+      const decide::ConfigStep Step =
+          m_State.m_Routes.offer(std::move(NewConfig), Row.m_Version, Origin);
       if (Step == decide::ConfigStep::NotNewer)
         continue;
       const std::vector<router::LogField> Fields{
@@ -541,8 +537,8 @@
       } else if (Step == decide::ConfigStep::KeptOverCopy) {
         router::logEvent(schema::WARN, "config_kept_over_copy", Fields);
       } else {
+        m_State.m_Metrics.countEvent("config_awaits_newer");
         router::logEvent(schema::WARN, "config_awaits_newer", Fields);
-        asio::co_spawn(m_State.m_Io, adoptAwaitedConfig(), asio::detached);
       }
     } catch (const Error &Ex) {
       m_State.m_Metrics.countEvent("config_unreadable");
@@ -552,18 +548,6 @@
   }
 }
 
-asio::awaitable<void> StoreWatch::adoptAwaitedConfig() {
-  co_await sleepFor(m_State.m_Io, AwaitedConfigCheckDelay);
-  if (!m_State.m_Routes.adoptAwaited(ForwardState::now()))
-    co_return;
-  router::logEvent(
-      schema::WARN, "config_adopted",
-      {{"version",
-        std::to_string(m_State.m_Routes.current()->config().m_Version)},
-       {"source", "written again by operators"}});
-  m_OnConfig();
-}
-
 void StoreWatch::applyRegistry(const platform::RowBatch &Changes,
                                RowsKind Kind) {
   std::vector<decide::EndpointRecord> Records;
--- a/packages/forward/store_watch.h
+++ b/packages/forward/store_watch.h
@@ -100,7 +100,6 @@
   void wakeWaiters(FollowedTable &Table);
   void applyConfig(const platform::RowBatch &Changes, RowsKind Kind,
                    decide::RowSource Source);
-  boost::asio::awaitable<void> adoptAwaitedConfig();
   void applyRegistry(const platform::RowBatch &Changes, RowsKind Kind);
   void applyRouters(const platform::RowBatch &Changes, RowsKind Kind);
   boost::asio::awaitable<void> registerAgain();
--- a/tests/process/forward_restore_test.cpp
+++ b/tests/process/forward_restore_test.cpp
@@ -147,6 +147,50 @@
   CHECK(First.m_Served > 50);
 }
 
+// Guards against callers of a newer configuration being refused when an older
+// one is written again first.
+TEST_CASE(
+    "the store comes back from an older copy, and operators write two "
+    "configurations again, far apart: callers of the newer one are served "
+    "all the time") {
+  TwoRouters Fleet;
+  FakePlatform &Platform = Fleet.Platform;
+  const auto Copy = Platform.copyStore();
+  writeUnrelatedRows(Platform);
+  Platform.setKeys({"key", "second"});
+  Platform.configure(4);
+  Platform.setKeys({"key", "second", "third"});
+  Platform.configure(9);
+  const auto ThirdServed = [](const ForwardRouter &Router) {
+    return lookStatus(Router, "third") == 200;
+  };
+  REQUIRE(holdsAtBoth(Fleet, ConfigBound, ThirdServed));
+  restoreAfter(Platform, Copy);
+  // Until the copy has been read, which the next version is told apart from.
+  std::this_thread::sleep_for(1200ms);
+  Platform.setKeys({"key", "second"});
+  Platform.configure(4);
+  // Longer than the time in which a change must take effect.
+  const auto End = Clock::now() + ConfigBound + 1s;
+  while (Clock::now() < End) {
+    CHECK(ThirdServed(*Fleet.R1));
+    CHECK(ThirdServed(*Fleet.R2));
+    std::this_thread::sleep_for(20ms);
+  }
+  Platform.setKeys({"key", "second", "third"});
+  Platform.configure(9);
+  std::this_thread::sleep_for(500ms);
+  Platform.setKeys({"fourth"});
+  Platform.configure(12);
+  const bool InForce =
+      holdsAtBoth(Fleet, ConfigBound, [](const ForwardRouter &Router) {
+        return lookStatus(Router, "third") == 401 &&
+               lookStatus(Router, "fourth") == 200;
+      });
+  CAPTURE(Fleet.R1->log());
+  CHECK(InForce);
+}
+
 // Guards against routers that see no endpoint leave after the store came back
 // from an older copy.
 TEST_CASE("the store comes back from an older copy: an endpoint that then "
