Hand a request back rather than decide on it by an older configuration

Cause: the router that takes a request over judges it anew by its own configuration; nothing in the request says by which version it was admitted, and any answer but a hand-back is relayed as it is. Ruled out: the first router going back itself; its log in the new test has one version in force throughout.

Change: the mark of a request that is handed over names the configuration version and the service drawn by it. A router that knows only an older version and finds no route, no key, or not that service hands the request back (`configuration`), which pauses it for nothing else; one with a newer version decides by that. The service drawn is kept if the route has it, so that weights are drawn once. The mark's fields do not go on to endpoints any more. Routers of an older version ignore the fields.

--- a/packages/decide/peer_chooser.cpp
+++ b/packages/decide/peer_chooser.cpp
@@ -115,7 +115,8 @@
 void PeerChooser::onHandedBack(const PeerId &Router, const ServiceId &Service,
                                HandBackCause Cause, Instant Now) {
   const auto Known = m_Routers.find(Router);
-  if (Known == m_Routers.end())
+  // A router with an older configuration serves what that treats alike.
+  if (Known == m_Routers.end() || Cause == HandBackCause::Configuration)
     return;
   if (Cause == HandBackCause::Router)
     pause(Known->second.m_AllServices, Now + HandBackPause);
--- a/packages/decide/peer_chooser.h
+++ b/packages/decide/peer_chooser.h
@@ -15,8 +15,10 @@
 
 /// What a router lacks that handed a request back.
 enum class HandBackCause {
-  Endpoint, // one for the service of the request, now
-  Router    // it is not ready or stops, so that it serves no request
+  Endpoint,     // one for the service of the request, now
+  Router,       // it is not ready or stops, so that it serves no request
+  Configuration // it knows only an older one, which treats the request
+                // otherwise
 };
 
 /// Routers that requests are handed to. One that handed a request back gets no
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -1,7 +1,6 @@
 // One attempt at an endpoint, from the connection to the end of the answer.
 #include "decide/answer_rule.h"
 #include "forward/forward_call.h"
-#include "forward/hand_over.h"
 #include "router/log.h"
 
 namespace mimosadale::forward {
@@ -204,7 +203,12 @@
     net::HttpRequest HandedOver = platform::encodeHandOver(
         m_Exchange.request(), m_Run->end() - ForwardState::now(),
         m_Splitter.lastId());
-    markHandedOver(HandedOver, {m_EndpointsLeft, m_Run->isCounted()});
+    HandOverMark Mark;
+    Mark.m_EndpointsLeft = m_EndpointsLeft;
+    Mark.m_IsCounted = m_Run->isCounted();
+    Mark.m_ConfigVersion = m_Routes->config().m_Version;
+    Mark.m_Service = m_Service;
+    markHandedOver(HandedOver, Mark);
     return HandedOver;
   }
   platform::ForwardHeaders Headers;
@@ -215,7 +219,11 @@
   if (!To.m_Path.empty())
     Headers.m_Path = platform::encodePath(m_State.m_Fleet, To.m_Path);
   Headers.m_LastEventId = m_Splitter.lastId();
-  return platform::encodeForwardRequest(m_Exchange.request(), Headers);
+  net::HttpRequest Request =
+      platform::encodeForwardRequest(m_Exchange.request(), Headers);
+  if (m_Sender == Sender::Router)
+    dropHandedOver(Request);
+  return Request;
 }
 
 asio::awaitable<std::optional<ForwardAction>>
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -1,6 +1,5 @@
 #include "forward/forward_call.h"
 
-#include "forward/hand_over.h"
 #include "forward/sleep.h"
 #include "platform/names.h"
 #include "router/log.h"
@@ -85,45 +84,90 @@
   return m_Run->onNoEndpoint(schema::NO_ENDPOINT, retryAfter(), Now);
 }
 
+// Sets the refusal of a request that no endpoint was tried for. \returns false.
+bool ForwardCall::refuseBeforeAttempt(schema::Reason Reason, const char *Detail,
+                                      std::optional<Duration> RetryAfter) {
+  m_Refusal = router::notRunRefusal(Reason, Detail, RetryAfter);
+  return false;
+}
+
+// Whether the router that handed the request over admitted it by a newer
+// configuration than this one knows.
+bool ForwardCall::knowsOlderConfig() const {
+  return m_Routes->config().m_Version < m_HandOverMark.m_ConfigVersion;
+}
+
+// Refuses the request by the configuration, unless that is older than the one
+// by which another router admitted the request: then it is handed back.
+bool ForwardCall::refuseByConfig(schema::Reason Reason, const char *Detail) {
+  m_ConfigIsTooOld = knowsOlderConfig();
+  if (m_ConfigIsTooOld)
+    return refuseBeforeAttempt(schema::NOT_READY,
+                               "the configuration is known in an older version",
+                               retryAfter());
+  return refuseBeforeAttempt(Reason, Detail);
+}
+
+// The service that the request goes to: the one that a router has drawn that
+// handed it over, if the route has it; none if the configuration is too old.
+std::optional<ServiceId> ForwardCall::pickService() {
+  const ServiceId &Drawn = m_HandOverMark.m_Service;
+  for (const decide::WeightedService &Service : m_Route->m_Services)
+    if (!Drawn.empty() && Service.m_Service == Drawn)
+      return Drawn;
+  if (!Drawn.empty() && knowsOlderConfig())
+    return std::nullopt;
+  const double Draw =
+      std::uniform_real_distribution<double>(0, 1)(m_State.m_Random);
+  return m_Routes->chooseService(*m_Route, Draw);
+}
+
 // Finds route, workspace and service. \returns whether the request may proceed;
 // if not, `m_Refusal` is set.
-bool ForwardCall::prepare() {
-  const Duration Delay = retryAfter();
-  const auto Refuse = [&](schema::Reason Reason, const char *Detail,
-                          std::optional<Duration> RetryAfter = std::nullopt) {
-    m_Refusal = router::notRunRefusal(Reason, Detail, RetryAfter);
-    return false;
-  };
-  m_Routes = m_State.m_Routes.current();
-  if (!m_State.ready())
-    return Refuse(schema::NOT_READY, "no configuration yet", Delay);
+bool ForwardCall::admit() {
   m_Route =
       m_Routes->find(m_RequestHeaders.m_Host, m_Exchange.request().m_Target);
   if (!m_Route)
-    return Refuse(schema::NOT_FOUND, "no route for this host and path");
+    return refuseByConfig(schema::NOT_FOUND, "no route for this host and path");
   if (m_Routes->config().m_KeysRequired && !m_Route->m_Public) {
     m_Workspace = m_Routes->workspaceOf(m_RequestHeaders.m_WorkspaceKey);
     if (!m_Workspace)
-      return Refuse(schema::UNAUTHENTICATED, "the key is not known");
+      return refuseByConfig(schema::UNAUTHENTICATED, "the key is not known");
   }
+  const std::optional<ServiceId> Service = pickService();
+  if (!Service)
+    return refuseByConfig(schema::NOT_READY, "no configuration yet");
+  m_Service = *Service;
+  return true;
+}
+
+// Decides whether the request may proceed, and starts its run. \returns false
+// with `m_Refusal` set if it may not.
+bool ForwardCall::prepare() {
+  m_Routes = m_State.m_Routes.current();
+  if (!m_State.ready())
+    return refuseBeforeAttempt(schema::NOT_READY, "no configuration yet",
+                               retryAfter());
+  if (m_Sender == Sender::Router)
+    m_HandOverMark =
+        parseHandedOver(m_Exchange.request()).value_or(HandOverMark{});
+  if (!admit())
+    return false;
   const bool TooLate =
       m_State.m_LastArrival && m_ArrivedAt > *m_State.m_LastArrival;
   if (TooLate || outlastsDrain() ||
       (m_Sender == Sender::Router && m_State.m_Draining))
-    return Refuse(schema::DRAINING, "this router stops before it would end",
-                  RetryAfterAtDrain);
-  const double Draw =
-      std::uniform_real_distribution<double>(0, 1)(m_State.m_Random);
-  m_Service = m_Routes->chooseService(*m_Route, Draw);
+    return refuseBeforeAttempt(schema::DRAINING,
+                               "this router stops before it would end",
+                               RetryAfterAtDrain);
   decide::ForwardParams Start;
   Start.m_Kind = m_Route->m_Kind;
   Start.m_Resumable = m_Route->m_Resumable;
   Start.m_MaxEndpoints = m_Route->m_MaxEndpoints;
   if (m_Sender == Sender::Router) {
-    const HandOverMark Mark =
-        parseHandedOver(m_Exchange.request()).value_or(HandOverMark{});
-    Start.m_MaxEndpoints = std::min(Start.m_MaxEndpoints, Mark.m_EndpointsLeft);
-    Start.m_IsCounted = Mark.m_IsCounted;
+    Start.m_MaxEndpoints =
+        std::min(Start.m_MaxEndpoints, m_HandOverMark.m_EndpointsLeft);
+    Start.m_IsCounted = m_HandOverMark.m_IsCounted;
   }
   Start.m_Timeout = m_ArrivedAt + m_Route->m_Timeout;
   Start.m_Deadline = m_RequestHeaders.m_Deadline
@@ -322,7 +366,9 @@
   if (!m_RequestHeaders.m_Id.empty())
     Response.m_Headers.push_back(
         {platform::RequestIdHeader, m_RequestHeaders.m_Id.str()});
-  const auto Cause = handBackCause(Refusal);
+  auto Cause = handBackCause(Refusal);
+  if (m_ConfigIsTooOld)
+    Cause = decide::HandBackCause::Configuration;
   if (m_Sender == Sender::Router && Cause) {
     m_State.m_Metrics.countEvent("handed_back");
     markHandedBack(Response, m_Run ? m_Run->attempts() : 0, *Cause);
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -7,6 +7,7 @@
 #include "decide/stall_policy.h"
 #include "forward/event_splitter.h"
 #include "forward/forward_state.h"
+#include "forward/hand_over.h"
 #include "net/server.h"
 #include "platform/request_headers.h"
 
@@ -61,6 +62,12 @@
   Duration retryAfter();
   decide::ForwardAction onNoTarget();
   bool prepare();
+  bool knowsOlderConfig() const;
+  bool admit();
+  bool refuseBeforeAttempt(schema::Reason Reason, const char *Detail,
+                           std::optional<Duration> RetryAfter = std::nullopt);
+  bool refuseByConfig(schema::Reason Reason, const char *Detail);
+  std::optional<ServiceId> pickService();
   void countFirstAttempt();
   bool outlastsDrain() const;
   std::optional<Target> chooseTarget();
@@ -129,6 +136,8 @@
   std::shared_ptr<std::set<ForwardCall *>> m_Calls;
   net::HttpExchange &m_Exchange;
   const Sender m_Sender;
+  HandOverMark m_HandOverMark;   // of a request that a router handed over
+  bool m_ConfigIsTooOld = false; // to decide on a request handed over
   const Instant m_ArrivedAt;
   platform::RequestHeaders m_RequestHeaders;
   std::shared_ptr<const decide::RouteTable> m_Routes;
--- a/packages/forward/hand_over.h
+++ b/packages/forward/hand_over.h
@@ -5,6 +5,7 @@
 #include "decide/peer_chooser.h"
 #include "net/http.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace mimosadale::forward {
@@ -13,6 +14,11 @@
 struct HandOverMark {
   unsigned m_EndpointsLeft = 0; // that it may still be sent to
   bool m_IsCounted = true;      // as a first attempt, by a retry budget
+  // The configuration by which the request was admitted, and the service that
+  // it goes to by that; 0 and empty if not stated, as by routers of an older
+  // version.
+  std::uint64_t m_ConfigVersion = 0;
+  ServiceId m_Service;
   bool operator==(const HandOverMark &) const = default;
 };
 
@@ -22,6 +28,9 @@
 /// that the caller has set.
 void markHandedOver(net::HttpRequest &Request, const HandOverMark &Mark);
 
+/// Removes the mark from a request that goes to an endpoint.
+void dropHandedOver(net::HttpRequest &Request);
+
 /// The mark of \p Request; none if it was not handed over. A malformed one
 /// leaves no endpoint.
 std::optional<HandOverMark> parseHandedOver(const net::HttpRequest &Request);
--- a/tests/process/forward_hand_over_test.cpp
+++ b/tests/process/forward_hand_over_test.cpp
@@ -277,6 +277,64 @@
   CHECK(eventCount(*Routers.m_First, "handed_over") - Before <= 4 * Requests);
 }
 
+// Guards against a router that goes back behind a configuration whose effect
+// its callers have seen, since the router that takes a request over knows only
+// an older one.
+TEST_CASE(
+    "a router that is cut off knows a newer configuration than one of two "
+    "others: its callers are served by that, never by the older one") {
+  Beside Routers;
+  FakePlatform Newer;
+  addDefaultEndpoints(Newer);
+  ForwardRouter Third(Newer, "r3");
+  Routers.add(Third);
+  Routers.cut();
+  Routers.sendUntilNoticed();
+  CAPTURE(Routers.m_First->log());
+  for (FakePlatform *Platform : {&Routers.m_Cut, &Newer}) {
+    Platform->setKeys({"key", "new"});
+    Platform->addRoute({{"Name", "added"},
+                        {"Host", harness::loopbackIp()},
+                        {"Prefix", "/added/"},
+                        {"RouteType", "non_idempotent"},
+                        {"TimeoutMs", 2000},
+                        {"Service", "booking"},
+                        {"MaxAttempts", 1}});
+    // Moves lookups to another service, which the older configuration knows.
+    Platform->addRoute({{"Name", "moved"},
+                        {"Host", harness::loopbackIp()},
+                        {"Prefix", "/look/moved/"},
+                        {"RouteType", "idempotent"},
+                        {"TimeoutMs", 2000},
+                        {"Service", "archive"},
+                        {"MaxAttempts", 3}});
+    Platform->addService("a1", "archive");
+    Platform->configure(2);
+  }
+  const auto Call = [&](const std::string &Target, const std::string &Key) {
+    static int Sent = 0;
+    return Routers.call(Target, "c" + std::to_string(Sent++), Key).m_Status;
+  };
+  REQUIRE(harness::waitUntil([&] { return Call("/added/a", "new") == 200; }));
+  int SentToOlder = 0;
+  for (int I = 0; I < 30; ++I) {
+    CHECK(Call("/look/a", "new") == 200);
+    CHECK(Call("/added/a", "key") == 200);
+    const std::string Id = "moved" + std::to_string(I);
+    CHECK(Routers.call("/look/moved/a", Id).m_Status == 200);
+    SentToOlder += Routers.m_Sound.runCount(Id);
+    // What both treat alike may go to either.
+    CHECK(Call("/look/a", "key") == 200);
+  }
+  CHECK(SentToOlder == 0);
+  // A key that the newer one of the other routers has withdrawn is refused.
+  Routers.m_Sound.setKeys({"other"});
+  Routers.m_Sound.configure(5);
+  Newer.setKeys({"other"});
+  Newer.configure(5);
+  CHECK(harness::waitUntil([&] { return Call("/look/a", "new") == 401; }));
+}
+
 // Guards against a retry budget that grows with each router that a request is
 // handed to.
 TEST_CASE("a router that is cut off hands requests over, and gets some of them "
--- a/tests/unit/hand_over_test.cpp
+++ b/tests/unit/hand_over_test.cpp
@@ -13,11 +13,18 @@
   CHECK_FALSE(parseHandedOver(Request));
   Request.m_Headers = {{"mimosadale-HANDED-over", "99"}, {"Host", "x"}};
   for (const bool IsCounted : {false, true}) {
-    const HandOverMark Mark{2, IsCounted};
+    const HandOverMark Mark{2, IsCounted, 0, ServiceId()};
     markHandedOver(Request, Mark);
     CHECK(parseHandedOver(Request) == Mark);
     CHECK(Request.m_Headers.size() == 2);
   }
+  const HandOverMark Admitted{2, true, 17, ServiceId("guide")};
+  markHandedOver(Request, Admitted);
+  CHECK(parseHandedOver(Request) == Admitted);
+  CHECK(Request.m_Headers.size() == 4);
+  dropHandedOver(Request);
+  CHECK_FALSE(parseHandedOver(Request));
+  CHECK(Request.m_Headers.size() == 1);
 }
 
 // Guards against endpoints that have a request sent by other routers too.
@@ -39,7 +46,7 @@
 TEST_CASE("a malformed count in the mark of a hand-over counts as none left") {
   net::HttpRequest Request;
   Request.m_Headers = {{"Mimosadale-Handed-Over", "many"}};
-  CHECK(parseHandedOver(Request) == HandOverMark{0, true});
+  CHECK(parseHandedOver(Request) == HandOverMark{0, true, 0, ServiceId()});
 }
 
 // Routers of the version before name no cause; later ones may name others.
--- a/tests/unit/peer_chooser_test.cpp
+++ b/tests/unit/peer_chooser_test.cpp
@@ -139,6 +139,22 @@
   }
 }
 
+TEST_CASE("a router handed back a request to one service: it is preferred for "
+          "another one as before") {
+  PeerChooser Chooser;
+  Random Rng(1);
+  Chooser.setRouters({{Near, Here}, {Far, There}});
+  Chooser.onHandedBack(Near, Ledger, HandBackCause::Endpoint, T0);
+  CHECK(Chooser.choose(Guide, Here, {}, T0, Rng) == Near);
+  CHECK(Chooser.choose(Ledger, Here, {}, T0, Rng) == Far);
+  // A service that it serves comes before one that only a nearer one might.
+  Chooser.onServed(Far, Ledger, T0);
+  int FarChosen = 0;
+  for (int I = 0; I < 100; ++I)
+    FarChosen += Chooser.choose(Ledger, Here, {}, T0 + 1s, Rng) == Far;
+  CHECK(FarChosen >= 80);
+}
+
 TEST_CASE("a router is not ready: it gets no request of any service while "
           "another one may serve, and is asked again if none may") {
   PeerChooser Chooser;
@@ -153,6 +169,16 @@
   CHECK_FALSE(Chooser.choose(Guide, Here, {Near}, T0 + 900ms, Rng));
 }
 
+TEST_CASE("a router knows only an older configuration than a request was "
+          "admitted by: it gets other requests") {
+  PeerChooser Chooser;
+  Random Rng(1);
+  Chooser.setRouters({{Near, Here}, {Far, There}});
+  Chooser.onHandedBack(Near, Guide, HandBackCause::Configuration, T0);
+  CHECK(Chooser.choose(Guide, Here, {}, T0, Rng) == Near);
+  CHECK(Chooser.choose(Guide, Here, {Near}, T0, Rng) == Far);
+}
+
 TEST_CASE("a router that fails for a moment is the only other one: requests "
           "that it may serve again are handed to it") {
   PeerChooser Chooser;
