Share the memory for answers among endpoints; bound reports tighter

From the report: bytes without end, in a head or a body. forward_endless_test played one call at a time. What it missed, each with a test now: - Many calls at once at one endpoint. Failed before: with 16 and 64 callers of a service that answers without end the router's memory grew by 114 MB (bound 64 MB, the users' aim for control), and the endpoint was never suspected, as the sum of 48 MB broke off whichever answer came next as a broken connection, which also accused its request of crashing endpoints. After: flat, and suspected. - Many engines at once that answer polls without end (60). Passed before; but a reader of 216 engines could hold 1 MB for each, so a report is bounded by 128 KB. - A stream of sound events without end at callers that do not read. Passed before: one event at a time is held for each.

--- a/packages/forward/engine_client.cpp
+++ b/packages/forward/engine_client.cpp
@@ -14,8 +14,10 @@
 // A connection that was idle for longer is not reused for a short call.
 constexpr Duration MaxIdleTime = std::chrono::seconds(3);
 
-// Limit of the answer to a poll or an order.
-constexpr std::size_t MaxAnswerBytes = 1u << 20;
+// Limit of the answer to a poll or an order: several times that of a report
+// with all streams stalled. The reader of a large data centre polls hundreds of
+// engines at a time.
+constexpr std::size_t MaxAnswerBytes = 128u << 10;
 
 // Cancels an exchange when its timeout expires.
 struct CallTimeout {
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -16,11 +16,6 @@
 constexpr Duration MaxIdleTime = std::chrono::seconds(8);
 constexpr Duration MaxIdleTimeAtMostOnce = std::chrono::milliseconds(300);
 
-// Limit of an answer that is buffered before it is sent to the caller, and of
-// all those that this router buffers at a time.
-constexpr std::size_t MaxAnswerBytes = 16u << 20;
-constexpr std::size_t MaxBufferedBytes = 48u << 20;
-
 // Limit of one event of a stream.
 constexpr std::size_t MaxEventBytes = 1u << 20;
 
@@ -371,21 +366,20 @@
   co_return onFault(Fault, {m_Target.m_Endpoint});
 }
 
-// Reads the rest of an answer; its bytes count as buffered until it was read.
+// Reads the rest of an answer, which is in memory until it was read as a whole.
 asio::awaitable<void> ForwardCall::readBody(net::UpstreamExchange &Upstream,
                                             std::string &Body) {
   std::size_t Counted = 0;
-  const std::shared_ptr<std::size_t> Buffered = m_State.m_BufferedBytes;
+  const std::shared_ptr<decide::AnswerMemory> Memory = m_State.m_AnswerMemory;
+  const EndpointId From = m_Target.m_Endpoint;
   const std::shared_ptr<void> Release(
-      nullptr, [&Counted, Buffered](void *) { *Buffered -= Counted; });
+      nullptr,
+      [&Counted, Memory, From](void *) { Memory->onReleased(From, Counted); });
   while (co_await Upstream.readSome(Body)) {
-    *Buffered += Body.size() - Counted;
+    Memory->onRead(From, Body.size() - Counted);
     Counted = Body.size();
-    if (Body.size() > MaxAnswerBytes)
-      throw net::OversizeError("answer without end");
-    if (*Buffered > MaxBufferedBytes)
-      throw net::NetError(net::Phase::Read, false,
-                          "more answers than this router may buffer");
+    if (!Memory->mayGoOn(From))
+      throw net::OversizeError("answers without end");
   }
 }
 
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -2,6 +2,7 @@
 #ifndef MIMOSADALE_FORWARD_FORWARD_STATE_H
 #define MIMOSADALE_FORWARD_FORWARD_STATE_H
 
+#include "decide/answer_memory.h"
 #include "decide/chain_router.h"
 #include "decide/crash_suspects.h"
 #include "decide/fleet.h"
@@ -194,10 +195,9 @@
   std::shared_ptr<std::set<ForwardCall *>> m_Calls =
       std::make_shared<std::set<ForwardCall *>>();
 
-  // Bytes of answers that are read into memory as a whole. Shared for the same
-  // reason.
-  std::shared_ptr<std::size_t> m_BufferedBytes =
-      std::make_shared<std::size_t>(0);
+  // Answers that are read into memory as a whole. Shared for the same reason.
+  std::shared_ptr<decide::AnswerMemory> m_AnswerMemory =
+      std::make_shared<decide::AnswerMemory>();
 
   // Engines named in refusals since the last poll.
   std::set<EndpointId> m_RefusingEngines;
--- a/tests/harness/endless_server.cpp
+++ b/tests/harness/endless_server.cpp
@@ -31,6 +31,7 @@
   case EndlessPart::StatusLine:
     return "HTTP/1.1 200 ";
   case EndlessPart::Body:
+  case EndlessPart::Events:
     return Start + "\r\n";
   case EndlessPart::Chunks:
   case EndlessPart::Trailer:
@@ -59,6 +60,9 @@
     case EndlessPart::Interim:
       Bytes += "HTTP/1.1 102 Processing\r\n\r\n";
       break;
+    case EndlessPart::Events:
+      Bytes += "id: 1\ndata: of no use\n\n";
+      break;
     default:
       Bytes += "0123456789abcdef";
     }
--- a/tests/harness/endless_server.h
+++ b/tests/harness/endless_server.h
@@ -19,7 +19,8 @@
   Chunks,      // a chunked body
   ChunkHeader, // the header of one chunk
   Trailer,     // header fields after a chunked body
-  Interim      // interim responses (1xx)
+  Interim,     // interim responses (1xx)
+  Events       // sound events of a stream
 };
 
 /// Serves loopback connections in threads of its own. Answers any request with
--- a/tests/process/forward_endless_test.cpp
+++ b/tests/process/forward_endless_test.cpp
@@ -8,6 +8,7 @@
 #include "platform/router_rows_codec.h"
 #include "platform/store_client.h"
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
@@ -240,3 +241,149 @@
       [&] { return Endless.closed() >= Endless.requests() - 2; }, 5s));
   CHECK(eventCount(R1, "limits_not_told") >= 1);
 }
+
+// Guards against one faulty endpoint taking the memory for answers, so that the
+// answers of sound ones are dropped.
+TEST_CASE("an endpoint answers many calls at a time without end: callers of "
+          "other services are served, and the memory stays flat") {
+  EndlessServer Endless(
+      [](const std::string &Request) { return endpointHeaders(Request, ""); });
+  FakePlatform Platform;
+  addDefaultEndpoints(Platform);
+  Platform.addRoute({{"Name", "archive"},
+                     {"Host", harness::loopbackIp()},
+                     {"Prefix", "/archive/"},
+                     {"RouteType", "non_idempotent"},
+                     {"TimeoutMs", 2000},
+                     {"Service", "archive"},
+                     {"MaxAttempts", 1}});
+  Platform.configure(2);
+  ForwardRouter R1(Platform);
+  waitUntilServing(R1);
+  Platform.put(platform::RegistryTable, "endless",
+               registryEntry("archive", Endless.address()));
+  // Slow enough for all answers to be under way at the same time.
+  Endless.setPause(2ms);
+  const std::uint64_t Before = residentBytes(R1.process().id());
+  std::uint64_t Most = Before;
+  for (const int Callers : {16, 64}) {
+    CAPTURE(Callers);
+    std::atomic<bool> Stop = false;
+    std::vector<std::future<void>> Calls;
+    for (int I = 0; I < Callers; ++I)
+      Calls.push_back(std::async(std::launch::async, [&, I] {
+        for (int J = 0; !Stop; ++J)
+          harness::sendRequest(
+              "POST", R1.callerAddress(), "/archive/a",
+              requestHeaders("e" + std::to_string(I) + "-" + std::to_string(J)),
+              "x");
+      }));
+    int Served = 0;
+    int Sent = 0;
+    const auto End = Clock::now() + 6s;
+    while (Clock::now() < End) {
+      const std::string Id =
+          std::to_string(Callers) + "-" + std::to_string(Sent++);
+      Served += harness::sendRequest("POST", R1.callerAddress(), "/book/a",
+                                     requestHeaders("b" + Id), "seat")
+                    .m_Status == 200;
+      Most = std::max(Most, residentBytes(R1.process().id()));
+    }
+    Stop = true;
+    for (auto &Call : Calls)
+      Call.get();
+    CHECK(Sent > 10);
+    CHECK(Served == Sent);
+  }
+  CHECK(eventCount(R1, "answer_without_end") >= 1);
+#ifndef __SANITIZE_ADDRESS__
+#ifndef __SANITIZE_THREAD__
+  CHECK(Most < Before + (64u << 20));
+#endif
+#endif
+}
+
+// Guards against the reader of a large data centre, which polls all engines,
+// running out of memory by their reports.
+TEST_CASE(
+    "many engines answer polls without end at a time: callers are served, "
+    "and the memory stays flat") {
+  constexpr int Engines = 60;
+  std::vector<std::unique_ptr<EndlessServer>> Endless;
+  FakePlatform Platform;
+  addDefaultEndpoints(Platform);
+  ForwardRouter R1(Platform);
+  waitUntilServing(R1);
+  const std::uint64_t Before = residentBytes(R1.process().id());
+  std::uint64_t Most = Before;
+  for (int I = 0; I < Engines; ++I) {
+    Endless.push_back(std::make_unique<EndlessServer>());
+    Endless.back()->setPause(1ms);
+    Platform.put(platform::RegistryTable, "endless" + std::to_string(I),
+                 registryEntry("llm", Endless.back()->address(),
+                               R"("RouteType":"big",)"));
+  }
+  int Served = 0;
+  int Sent = 0;
+  const auto End = Clock::now() + 5s;
+  while (Clock::now() < End) {
+    Served += harness::sendRequest("GET", R1.callerAddress(), "/look/a",
+                                   requestHeaders("l" + std::to_string(Sent++)))
+                  .m_Status == 200;
+    Most = std::max(Most, residentBytes(R1.process().id()));
+  }
+  int Polls = 0;
+  for (const auto &Engine : Endless)
+    Polls += Engine->requests();
+  CHECK(Polls >= Engines);
+  CHECK(Served == Sent);
+#ifndef __SANITIZE_ADDRESS__
+#ifndef __SANITIZE_THREAD__
+  CHECK(Most < Before + (64u << 20));
+#endif
+#endif
+}
+
+// Guards against a stream that is buffered for a caller who does not read it.
+TEST_CASE("a caller reads a stream without end slowly, or not at all: the "
+          "memory stays flat, and other callers are served") {
+  EndlessServer Endless([](const std::string &Request) {
+    return endpointHeaders(Request, "Content-Type: text/event-stream\r\n");
+  });
+  Endless.setPart(EndlessPart::Events);
+  FakePlatform Platform;
+  addDefaultEndpoints(Platform);
+  ForwardRouter R1(Platform);
+  waitUntilServing(R1);
+  for (const char *Name : {"b1", "b2"})
+    Platform.drain(Name);
+  Platform.put(platform::RegistryTable, "endless",
+               registryEntry("booking", Endless.address()));
+  REQUIRE(harness::waitUntil([&] {
+    harness::EventStream Probe(R1.callerAddress(), "/book/a",
+                               requestHeaders("probe"), "x");
+    return Endless.requests() > 0;
+  }));
+  const std::uint64_t Before = residentBytes(R1.process().id());
+  std::uint64_t Most = Before;
+  std::vector<std::unique_ptr<harness::EventStream>> Unread;
+  for (int I = 0; I < 32; ++I)
+    Unread.push_back(std::make_unique<harness::EventStream>(
+        R1.callerAddress(), "/book/a", requestHeaders("u" + std::to_string(I)),
+        "x"));
+  const auto End = Clock::now() + 3s;
+  while (Clock::now() < End) {
+    harness::EventStream Stream(R1.callerAddress(), "/guide/x",
+                                requestHeaders("s"), "x");
+    CHECK(readInOrder(Stream) == 40);
+    Most = std::max(Most, residentBytes(R1.process().id()));
+  }
+  Unread.clear();
+  CHECK(harness::waitUntil(
+      [&] { return Endless.closed() == Endless.requests(); }, 15s));
+#ifndef __SANITIZE_ADDRESS__
+#ifndef __SANITIZE_THREAD__
+  CHECK(Most < Before + (64u << 20));
+#endif
+#endif
+}
