--- a/tests/platform/forward_router.cpp
+++ b/tests/platform/forward_router.cpp
@@ -11,6 +11,17 @@
 // The time-out of the platform's load balancer.
 constexpr auto ReadinessTimeout = std::chrono::milliseconds(500);
 
+std::string variable(const char *Name) {
+  const char *Value = std::getenv(Name);
+  return Value ? Value : "";
+}
+
+// Whether MIMOSADALE_OTHER_ROUTERS, a list with commas, names this router.
+bool isOther(const std::string &Name) {
+  return ("," + variable("MIMOSADALE_OTHER_ROUTERS") + ",")
+             .find("," + Name + ",") != std::string::npos;
+}
+
 } // namespace
 
 ForwardRouter::ForwardRouter(const FakePlatform &Platform,
@@ -43,10 +54,14 @@
 
 void ForwardRouter::start() {
   m_Process.reset();
+  // A router that is named starts as the other build, and is replaced by the
+  // one of the two that it did not run at each further start.
+  const bool RunsOther = isOther(m_Name) && m_Starts++ % 2 == 0;
   m_Process = std::make_unique<harness::Process>(
       m_Name,
       std::vector<std::string>{
-          std::string(std::getenv("MIMOSADALE_BIN")) + "/mimosadale",
+          variable(RunsOther ? "MIMOSADALE_OTHER_BIN" : "MIMOSADALE_BIN") +
+              "/mimosadale",
           "--forward", "--config", m_Directory / "node.toml"},
       m_Directory / "log");
 }
--- a/tests/platform/forward_router.h
+++ b/tests/platform/forward_router.h
@@ -15,7 +15,8 @@
 inline const std::string LargeRetryBudget = "slack = 200\nwindow_seconds = 1\n";
 
 /// One router with addresses of its own, which it keeps over restarts. The
-/// destructor kills it.
+/// destructor kills it. Runs the program in the folder MIMOSADALE_BIN, or in
+/// MIMOSADALE_OTHER_BIN if MIMOSADALE_OTHER_ROUTERS names the router.
 ///
 /// \par Thread safety
 /// None, except `callerAddress()`.
@@ -48,6 +49,7 @@
   std::string m_ReadinessAddress = harness::freeAddress();
   std::string m_MetricsAddress = harness::freeAddress();
   std::string m_PeerAddress = harness::freeAddress();
+  unsigned m_Starts = 0;
   std::unique_ptr<harness::Process> m_Process;
 };
 
