--- a/tests/harness/endless_server.cpp
+++ b/tests/harness/endless_server.cpp
@@ -72,6 +72,13 @@
 } // namespace
 
 struct EndlessServer::State {
+  // A connection, served by a thread of its own.
+  struct Session {
+    std::shared_ptr<tcp::socket> m_Socket;
+    std::thread m_Thread;
+    std::atomic<bool> m_Ended = false;
+  };
+
   void accept() {
     while (!m_Stop) {
       auto Socket = std::make_shared<tcp::socket>(m_Io);
@@ -80,11 +87,27 @@
       if (Failed || m_Stop)
         return;
       const std::lock_guard Lock(m_Mutex);
-      m_Sockets.push_back(Socket);
-      m_Threads.emplace_back([this, Socket] { serve(*Socket); });
+      joinEnded();
+      Session &Added = m_Sessions.emplace_back();
+      Added.m_Socket = Socket;
+      Added.m_Thread = std::thread([this, Socket, &Added] {
+        serve(*Socket);
+        Added.m_Ended = true;
+      });
     }
   }
 
+  // Sanitizers bear a few thousand threads that were not joined. Requires
+  // m_Mutex.
+  void joinEnded() {
+    m_Sessions.remove_if([](Session &Current) {
+      if (!Current.m_Ended)
+        return false;
+      Current.m_Thread.join();
+      return true;
+    });
+  }
+
   void serve(tcp::socket &Socket) {
     asio::streambuf Request;
     boost::system::error_code Failed;
@@ -120,9 +143,8 @@
   std::atomic<int> m_Requests = 0;
   std::atomic<int> m_Closed = 0;
   std::atomic<std::uint64_t> m_MostBytes = 0;
-  std::mutex m_Mutex; // guards the two members below
-  std::list<std::shared_ptr<tcp::socket>> m_Sockets;
-  std::list<std::thread> m_Threads;
+  std::mutex m_Mutex; // guards the member below
+  std::list<Session> m_Sessions;
   std::thread m_Accepting;
 };
 
@@ -138,10 +160,10 @@
   m_State->m_Stop = true;
   shutdown(m_State->m_Acceptor.native_handle(), SHUT_RDWR);
   m_State->m_Accepting.join();
-  for (const auto &Socket : m_State->m_Sockets)
-    shutdown(Socket->native_handle(), SHUT_RDWR);
-  for (std::thread &Thread : m_State->m_Threads)
-    Thread.join();
+  for (const State::Session &Session : m_State->m_Sessions)
+    shutdown(Session.m_Socket->native_handle(), SHUT_RDWR);
+  for (State::Session &Session : m_State->m_Sessions)
+    Session.m_Thread.join();
 }
 
 std::string EndlessServer::address() const {
