Ask paused routers by turns, so that one that serves again is found

Cause: with all other routers paused, the one whose pause ends first was asked. A hand-back pauses for 1 s and renews that at each ask; a broken connection pauses for 3 s. So the router that hands back is asked over and over, and the other one, which serves, waits for the end of its pause. A request that was served ended the pause of its service, but not that of the router.

Ruled out: the configuration (version 1 throughout at that router), the deadly request (blocked after 4 crashes, another route).

Change: of paused routers the one that failed the longest ago is asked, and a request that was served ends all pauses of the router.

peer_chooser_test, "all other routers are paused": before, six checks fail (two of three routers asked), after none.

--- a/packages/decide/peer_chooser.cpp
+++ b/packages/decide/peer_chooser.cpp
@@ -64,8 +64,8 @@
     if (const auto Known = m_Routers.find(Router); Known != m_Routers.end())
       Avoided.insert(Known->second.m_DataCentre);
   std::array<std::vector<PeerId>, Ranks> Ranked;
-  std::optional<PeerId> FirstToReturn;
-  Instant ReturnsAt = Instant::max();
+  std::optional<PeerId> LongestPaused;
+  Instant LongestPausedAt = Instant::max();
   const bool Explores = Tried.empty() && std::uniform_real_distribution<double>(
                                              0, 1)(Rng) < ExploringShare;
   for (const auto &[Name, Router] : m_Routers) {
@@ -77,9 +77,11 @@
     const Instant PausedUntil =
         std::max(Router.m_AllServices.m_PausedUntil, AtService.m_PausedUntil);
     if (Now < PausedUntil) {
-      if (PausedUntil < ReturnsAt) {
-        ReturnsAt = PausedUntil;
-        FirstToReturn = Name;
+      const Instant PausedAt =
+          std::max(Router.m_AllServices.m_PausedAt, AtService.m_PausedAt);
+      if (PausedAt < LongestPausedAt) {
+        LongestPausedAt = PausedAt;
+        LongestPaused = Name;
       }
       continue;
     }
@@ -92,8 +94,9 @@
     if (!From.empty())
       return From[std::uniform_int_distribution<std::size_t>(0, From.size() -
                                                                     1)(Rng)];
-  // What all of them lacked need not be asked of each.
-  return Tried.empty() ? FirstToReturn : std::nullopt;
+  // What all of them lacked need not be asked of each. Requests ask them by
+  // turns, so that one with a long pause is found when it serves again.
+  return Tried.empty() ? LongestPaused : std::nullopt;
 }
 
 void PeerChooser::onServed(const PeerId &Router, const ServiceId &Service,
@@ -101,15 +104,17 @@
   const auto Known = m_Routers.find(Router);
   if (Known == m_Routers.end())
     return;
-  Known->second.m_AllServices.m_ServedAt = Now;
-  Record &AtService = Known->second.m_ByService[Service];
-  AtService.m_ServedAt = Now;
-  AtService.m_PausedUntil = Never;
+  for (Record *Served :
+       {&Known->second.m_AllServices, &Known->second.m_ByService[Service]}) {
+    Served->m_ServedAt = Now;
+    Served->m_PausedUntil = Never;
+  }
 }
 
-void PeerChooser::pause(Record &Paused, Instant Until) {
+void PeerChooser::pause(Record &Paused, Instant Now, Duration Time) {
   Paused.m_ServedAt = Never;
-  Paused.m_PausedUntil = std::max(Paused.m_PausedUntil, Until);
+  Paused.m_PausedAt = Now;
+  Paused.m_PausedUntil = std::max(Paused.m_PausedUntil, Now + Time);
 }
 
 void PeerChooser::onHandedBack(const PeerId &Router, const ServiceId &Service,
@@ -119,15 +124,15 @@
   if (Known == m_Routers.end() || Cause == HandBackCause::Configuration)
     return;
   if (Cause == HandBackCause::Router)
-    pause(Known->second.m_AllServices, Now + HandBackPause);
-  pause(Known->second.m_ByService[Service], Now + HandBackPause);
+    pause(Known->second.m_AllServices, Now, HandBackPause);
+  pause(Known->second.m_ByService[Service], Now, HandBackPause);
 }
 
 void PeerChooser::onFailed(const PeerId &Router, Instant Now) {
   const auto Known = m_Routers.find(Router);
   if (Known == m_Routers.end())
     return;
-  pause(Known->second.m_AllServices, Now + FailurePause);
+  pause(Known->second.m_AllServices, Now, FailurePause);
   for (auto &[Service, AtService] : Known->second.m_ByService)
     AtService.m_ServedAt = Never;
 }
--- a/packages/decide/peer_chooser.h
+++ b/packages/decide/peer_chooser.h
@@ -35,9 +35,9 @@
 
   /// Draws a router outside \p Tried for a request to \p Service: mostly one
   /// that served that service lately, of \p Local if there is one, and rather
-  /// not of a data centre of one in \p Tried. If all are paused, the one whose
-  /// pause ends first, unless the request was handed to one already. None if
-  /// there is none.
+  /// not of a data centre of one in \p Tried. If all are paused, the one that
+  /// failed the longest ago, unless the request was handed to one already. None
+  /// if there is none.
   std::optional<PeerId> choose(const ServiceId &Service,
                                const DataCentreId &Local,
                                const std::set<PeerId> &Tried, Instant Now,
@@ -63,6 +63,7 @@
 
   // What is known of a router, or of a service there.
   struct Record {
+    Instant m_PausedAt = Never;
     Instant m_PausedUntil = Never;
     Instant m_ServedAt = Never;
     Instant m_SilentAt = Never;
@@ -75,7 +76,7 @@
 
   static std::size_t rank(const RouterRecord &Router, const Record &AtService,
                           std::size_t Distance, bool Explores, Instant Now);
-  void pause(Record &Paused, Instant Until);
+  static void pause(Record &Paused, Instant Now, Duration Time);
 
   std::map<PeerId, RouterRecord> m_Routers;
 };
--- a/tests/unit/peer_chooser_test.cpp
+++ b/tests/unit/peer_chooser_test.cpp
@@ -164,7 +164,7 @@
   CHECK(Chooser.choose(Guide, Here, {}, T0 + 900ms, Rng) == Far);
   Chooser.onHandedBack(Far, Guide, HandBackCause::Endpoint, T0 + 100ms);
   CHECK(Chooser.choose(Ledger, Here, {}, T0 + 900ms, Rng) == Far);
-  // Near's pause ends first.
+  // Near failed the longest ago.
   CHECK(Chooser.choose(Guide, Here, {}, T0 + 900ms, Rng) == Near);
   CHECK_FALSE(Chooser.choose(Guide, Here, {Near}, T0 + 900ms, Rng));
 }
@@ -188,3 +188,41 @@
   CHECK(Chooser.choose(Guide, Here, {}, T0 + 1s, Rng) == Near);
   CHECK_FALSE(Chooser.choose(Guide, Here, {Near}, T0 + 1s, Rng));
 }
+
+// Guards against requests being handed back and refused while a router serves
+// that was killed and has started again.
+TEST_CASE("all other routers are paused, for a second or for longer: requests "
+          "ask each of them by turns and find the one that serves again") {
+  PeerChooser Chooser;
+  Random Rng(1);
+  const PeerId Killed("killed");
+  Chooser.setRouters({{Near, Here}, {Far, There}, {Killed, Here}});
+  Chooser.onFailed(Killed, T0);
+  Chooser.onHandedBack(Near, Guide, HandBackCause::Endpoint, T0 + 100ms);
+  Chooser.onHandedBack(Far, Guide, HandBackCause::Router, T0 + 200ms);
+  for (const Duration Restart : {300ms, 600ms, 900ms}) {
+    std::set<PeerId> Asked;
+    for (int I = 0; I < 3; ++I) {
+      const Instant Now = T0 + Restart + I * 10ms;
+      const auto Peer = Chooser.choose(Guide, Here, {}, Now, Rng);
+      REQUIRE(Peer);
+      Asked.insert(*Peer);
+      if (*Peer == Killed)
+        Chooser.onFailed(*Peer, Now);
+      else
+        Chooser.onHandedBack(*Peer, Guide, HandBackCause::Endpoint, Now);
+    }
+    CHECK(Asked.size() == 3);
+  }
+  const Instant Restarted = T0 + 1s;
+  CHECK(Chooser.choose(Guide, Here, {}, Restarted, Rng) == Killed);
+  Chooser.onServed(Killed, Guide, Restarted);
+  // From then on it is preferred, also to one whose pause has ended.
+  for (const Duration Later : {0ms, 1000ms, 2900ms}) {
+    int KilledChosen = 0;
+    for (int I = 0; I < 100; ++I)
+      KilledChosen +=
+          Chooser.choose(Guide, Here, {}, Restarted + Later, Rng) == Killed;
+    CHECK(KilledChosen >= 80);
+  }
+}
