Hand requests to a router that broke off an answer, as its endpoint may have

What callers saw: at a router that reaches no endpoint, requests were refused, or tried at its own silent endpoints until their time-out (504), for 3 s after another router had broken off one stream, while that router served everybody else.

Cause: a stream that another router breaks off was taken for that router's failure, which pauses it for all services.

Change: after an answer has begun, an end of it counts as a stall does (`onSilent`, now `onInterrupted`): the other routers come first for 3 s. A router that was killed refuses the next connection, which pauses it as before.

--- a/packages/decide/peer_chooser.cpp
+++ b/packages/decide/peer_chooser.cpp
@@ -15,8 +15,8 @@
 // The same after it gave no answer.
 constexpr Duration FailurePause = std::chrono::milliseconds(3000);
 
-// Time for which a silent router comes after all others.
-constexpr Duration SilenceLifetime = std::chrono::milliseconds(3000);
+// Time for which a router whose answer stopped comes after all others.
+constexpr Duration InterruptionLifetime = std::chrono::milliseconds(3000);
 
 // Time for which a router that served is preferred, and the share of requests
 // that go to any router all the same, so that none carries all.
@@ -24,7 +24,7 @@
 constexpr double ExploringShare = 0.1;
 
 // Distances of a router: this data centre, another one, one that handed the
-// request back. Three groups of these, and the silent routers.
+// request back. Three groups of these, and the interrupted routers.
 constexpr std::size_t Distances = 3;
 constexpr std::size_t Ranks = 3 * Distances + 1;
 
@@ -39,14 +39,15 @@
 }
 
 // Those that served the service lately come before those that served another
-// one, and these before the rest, nearer ones first; silent ones come last.
+// one, and these before the rest, nearer ones first; interrupted ones come
+// last.
 std::size_t PeerChooser::rank(const RouterRecord &Router,
                               const Record &AtService, std::size_t Distance,
                               bool Explores, Instant Now) {
   const auto ServedLately = [&](const Record &Served) {
     return !Explores && Now - Served.m_ServedAt < ServedLifetime;
   };
-  if (Now - Router.m_AllServices.m_SilentAt < SilenceLifetime)
+  if (Now - Router.m_AllServices.m_InterruptedAt < InterruptionLifetime)
     return Ranks - 1;
   const std::size_t Group = ServedLately(AtService)              ? 0
                             : ServedLately(Router.m_AllServices) ? 1
@@ -137,13 +138,13 @@
     AtService.m_ServedAt = Never;
 }
 
-void PeerChooser::onSilent(const PeerId &Router, Instant Now) {
+void PeerChooser::onInterrupted(const PeerId &Router, Instant Now) {
   const auto Known = m_Routers.find(Router);
   if (Known == m_Routers.end())
     return;
   Record &AllServices = Known->second.m_AllServices;
   AllServices.m_ServedAt = Never;
-  AllServices.m_SilentAt = Now;
+  AllServices.m_InterruptedAt = Now;
 }
 
 } // namespace mimosadale::decide
--- a/packages/decide/peer_chooser.h
+++ b/packages/decide/peer_chooser.h
@@ -50,12 +50,13 @@
   void onHandedBack(const PeerId &Router, const ServiceId &Service,
                     HandBackCause Cause, Instant Now);
 
-  /// \p Router could not be connected to, or broke off.
+  /// \p Router could not be connected to, or broke off before its answer.
   void onFailed(const PeerId &Router, Instant Now);
 
-  /// \p Router has given no answer for long, nor part of one. It may stand
-  /// still, or an endpoint may: the others come first for a while.
-  void onSilent(const PeerId &Router, Instant Now);
+  /// \p Router has given no answer for long, nor part of one, or broke off an
+  /// answer that it had begun. The router may have failed, or an endpoint: the
+  /// others come first for a while.
+  void onInterrupted(const PeerId &Router, Instant Now);
 
 private:
   // Before any moment of a router's life.
@@ -66,7 +67,7 @@
     Instant m_PausedAt = Never;
     Instant m_PausedUntil = Never;
     Instant m_ServedAt = Never;
-    Instant m_SilentAt = Never;
+    Instant m_InterruptedAt = Never;
   };
   struct RouterRecord {
     DataCentreId m_DataCentre;
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -27,6 +27,7 @@
   m_EventSeen = false;
   m_AnswerBegun = false;
   m_AnswerDropped = false;
+  m_PeerAnswered = false;
   m_RepairInProgress = false;
   m_RepairCount = 0;
   m_UnfitEngines.clear();
@@ -64,7 +65,12 @@
   const AttemptFault Fault =
       Connecting ? AttemptFault::NotSent : AttemptFault::Broken;
   if (!m_Target.m_Router.empty()) {
-    m_State.m_PeerChooser.onFailed(m_Target.m_Router, ForwardState::now());
+    // It breaks off an answer if its endpoint does.
+    if (m_PeerAnswered)
+      m_State.m_PeerChooser.onInterrupted(m_Target.m_Router,
+                                          ForwardState::now());
+    else
+      m_State.m_PeerChooser.onFailed(m_Target.m_Router, ForwardState::now());
     if (!Connecting) // it may have been sent to an endpoint there
       m_Run->onCountedElsewhere();
     return Connecting ? onFault(Fault) : onFault(Fault, {m_Target.m_Endpoint});
@@ -275,6 +281,7 @@
 asio::awaitable<std::optional<ForwardAction>>
 ForwardCall::relayFromPeer(net::UpstreamExchange &Upstream,
                            net::HttpResponse Head) {
+  m_PeerAnswered = true;
   const std::optional<unsigned> SendsThere = parseHandedBack(Head);
   if (SendsThere != 0u)
     m_Run->onCountedElsewhere();
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -156,6 +156,7 @@
   Instant m_LastProgressAt{};
   bool m_EventSeen = false;     // in the current attempt
   bool m_AnswerBegun = false;   // the same, and the answer went on after it
+  bool m_PeerAnswered = false;  // its answer has begun
   bool m_AnswerDropped = false; // it may be that of another request
   decide::RequestMarks m_Marks;
   // Held while the request is sent to find out about a suspected mark.
--- a/packages/forward/forward_stall.cpp
+++ b/packages/forward/forward_stall.cpp
@@ -66,7 +66,7 @@
       decide::peerAction(Now - m_LastProgressAt, MayReroute);
   if (Step == decide::PeerAction::Wait)
     return;
-  m_State.m_PeerChooser.onSilent(m_Target.m_Router, Now);
+  m_State.m_PeerChooser.onInterrupted(m_Target.m_Router, Now);
   if (Step == decide::PeerAction::Reroute)
     abortAttempt(AbortReason::EngineLost);
 }
--- a/tests/process/forward_hand_over_test.cpp
+++ b/tests/process/forward_hand_over_test.cpp
@@ -277,6 +277,52 @@
   CHECK(eventCount(*Routers.m_First, "handed_over") - Before <= 4 * Requests);
 }
 
+// Guards against all requests being kept from a router that broke a stream off
+// because the stream's engine did.
+TEST_CASE("the only other router that serves breaks a stream off, as its "
+          "engine did: it gets the next requests") {
+  Beside Routers;
+  FakePlatform AlsoCut;
+  addDefaultEndpoints(AlsoCut);
+  ForwardRouter Third(AlsoCut, "r3");
+  Routers.add(Third);
+  for (FakePlatform *Platform : {&Routers.m_Cut, &Routers.m_Sound, &AlsoCut}) {
+    Platform->addRoute({{"Name", "once"},
+                        {"Host", harness::loopbackIp()},
+                        {"Prefix", "/once/"},
+                        {"RouteType", "streaming"},
+                        {"TimeoutMs", 20000},
+                        {"TargetLatencyMs", 500},
+                        {"Service", "llm"},
+                        {"MaxAttempts", 1},
+                        {"StreamResume", false},
+                        {"GapTargetMs", 200}});
+    Platform->configure(2);
+  }
+  Routers.cut();
+  for (const std::string &Id : Endpoints)
+    AlsoCut.stopResponding(Id);
+  Routers.sendUntilNoticed();
+  REQUIRE(harness::waitUntil([&] {
+    harness::sendRequest("POST", Third.callerAddress(), "/look/a",
+                         requestHeaders("noticed"), "x");
+    return Third.log().find("\"cut_off\":\"yes\"") != std::string::npos;
+  }));
+  CAPTURE(Routers.m_First->log());
+  Routers.m_Sound.setEventInterval(50ms);
+  harness::EventStream Broken(Routers.m_First->callerAddress(), "/once/x",
+                              requestHeaders("broken", "key", 400), "x");
+  REQUIRE(Broken.next());
+  for (const std::string &Id : Endpoints)
+    if (Id.front() != 'b')
+      Routers.m_Sound.abortStreams(Id);
+  while (Broken.next())
+    continue;
+  CHECK_FALSE(Broken.isComplete());
+  for (int I = 0; I < 10; ++I)
+    CHECK(Routers.call("/look/a", "l" + std::to_string(I)).m_Status == 200);
+}
+
 // Guards against a router that goes back behind a configuration whose effect
 // its callers have seen, since the router that takes a request over knows only
 // an older one.
--- a/tests/unit/peer_chooser_test.cpp
+++ b/tests/unit/peer_chooser_test.cpp
@@ -42,7 +42,7 @@
   Random Rng(1);
   Chooser.setRouters({{Near, Here}, {Far, There}});
   Chooser.onServed(Near, Guide, T0);
-  Chooser.onSilent(Near, T0);
+  Chooser.onInterrupted(Near, T0);
   CHECK(Chooser.choose(Guide, Here, {}, T0 + 2900ms, Rng) == Far);
   CHECK(Chooser.choose(Guide, Here, {Far}, T0, Rng) == Near);
   CHECK(Chooser.choose(Guide, Here, {}, T0 + 3s, Rng) == Near);
