--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -816,7 +816,8 @@
   }
   if (Next != LayerCount || Path.front() != &Instance)
     m_Violations.push_back(
-        "path does not end at the last layer or starts at another engine");
+        "path does not end at the last layer or starts at another engine: " +
+        PathText + " at " + Instance.m_Id + ", " + Instance.address());
   for (const Endpoint *Stage : Path)
     if (Stage->m_Unresponsive)
       return notRun(503, Stage->address());
