Reading: two routers of one test in one place, comments of the peer chooser

Three cases of forward_silent_store_test began with the same five lines; they share a struct. Two comments of peer_chooser.cpp told of the code as it was before: what pauses a router, and which distance comes last. No check, bound or code of the product is changed.

--- a/packages/decide/peer_chooser.cpp
+++ b/packages/decide/peer_chooser.cpp
@@ -12,7 +12,7 @@
 // back: engines that were lost have been replaced by then.
 constexpr Duration HandBackPause = std::chrono::milliseconds(1000);
 
-// The same after it gave no answer.
+// Time for which a router gets no request at all after it failed.
 constexpr Duration FailurePause = std::chrono::milliseconds(3000);
 
 // Time for which a router whose answer stopped comes after all others.
@@ -23,8 +23,8 @@
 constexpr Duration ServedLifetime = std::chrono::milliseconds(3000);
 constexpr double ExploringShare = 0.1;
 
-// Distances of a router: this data centre, another one, one that handed the
-// request back. Three groups of these, and the interrupted routers.
+// Distances of a router: in this data centre, in another one, in that of a
+// router that was tried. Three groups of these, and the interrupted routers.
 constexpr std::size_t Distances = 3;
 constexpr std::size_t Ranks = 3 * Distances + 1;
 
--- a/tests/process/forward_silent_store_test.cpp
+++ b/tests/process/forward_silent_store_test.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <doctest/doctest.h>
+#include <memory>
 #include <thread>
 
 using namespace mimosadale;
@@ -25,23 +26,33 @@
 
 constexpr auto Silence = 4500ms;
 
-// Starts two routers that know each other; ends the test if they do not serve.
-void waitUntilKnown(Router &R1, Router &R2) {
-  waitUntilServing(R1);
-  waitUntilServing(R2);
-  REQUIRE(harness::waitUntil(
-      [&] { return knownRouterCount(R1) == 2 && knownRouterCount(R2) == 2; }));
-}
+// Two routers that serve and know each other.
+struct Fleet {
+  Fleet() {
+    addDefaultEndpoints(m_Platform);
+    m_First = std::make_unique<Router>(m_Platform, "r1");
+    m_Second = std::make_unique<Router>(m_Platform, "r2");
+    waitUntilServing(*m_First);
+    waitUntilServing(*m_Second);
+    REQUIRE(harness::waitUntil([&] {
+      return knownRouterCount(*m_First) == 2 &&
+             knownRouterCount(*m_Second) == 2;
+    }));
+  }
+
+  FakePlatform m_Platform;
+  std::unique_ptr<Router> m_First;
+  std::unique_ptr<Router> m_Second;
+};
 
 } // namespace
 
 TEST_CASE("the store falls silent just after a change of the configuration: "
           "later changes are in force in time once it is back") {
-  FakePlatform Platform;
-  addDefaultEndpoints(Platform);
-  Router R1(Platform, "r1");
-  Router R2(Platform, "r2");
-  waitUntilKnown(R1, R2);
+  Fleet Started;
+  FakePlatform &Platform = Started.m_Platform;
+  const Router &R1 = *Started.m_First;
+  const Router &R2 = *Started.m_Second;
   SUBCASE("for all calls") {}
   SUBCASE("for calls that name the table only") {
     Platform.limitStoreModeTo("op");
@@ -66,11 +77,10 @@
 TEST_CASE("the store falls silent just after a change of the registry: an "
           "endpoint that leaves after its return gets no more requests in "
           "time, and one that is added gets them") {
-  FakePlatform Platform;
-  addDefaultEndpoints(Platform);
-  Router R1(Platform, "r1");
-  Router R2(Platform, "r2");
-  waitUntilKnown(R1, R2);
+  Fleet Started;
+  FakePlatform &Platform = Started.m_Platform;
+  const Router &R1 = *Started.m_First;
+  const Router &R2 = *Started.m_Second;
   SUBCASE("for all calls") {}
   SUBCASE("for calls that name the table only") {
     Platform.limitStoreModeTo("servers");
@@ -97,11 +107,10 @@
 // it has to take effect in time.
 TEST_CASE("the store falls silent while calls wait at it for long: they are "
           "sent again once it is back") {
-  FakePlatform Platform;
-  addDefaultEndpoints(Platform);
-  Router R1(Platform, "r1");
-  Router R2(Platform, "r2");
-  waitUntilKnown(R1, R2);
+  Fleet Started;
+  FakePlatform &Platform = Started.m_Platform;
+  const Router &R1 = *Started.m_First;
+  const Router &R2 = *Started.m_Second;
   Platform.setStoreMode(StoreMode::Silent);
   Platform.put(
       platform::RoutersTable, "r3",
