Count sends, and log those that no budget is charged for or whose caller left

ForwardRun keeps whether the next send is charged; nothing is decided by it yet. HttpExchange::callerLeft asks the socket itself.

--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -47,14 +47,17 @@
   m_SentTo.insert(Endpoint);
   m_Current = Endpoint;
   m_AttemptOpen = true;
+  m_SendIsCharged = false;
   ++m_Attempts;
 }
 
 ForwardAction ForwardRun::onFault(AttemptFault Fault, const EndpointSet &Lost,
                                   Instant Now, const SpendRetry &Budget) {
   if (std::exchange(m_AttemptOpen, false)) {
-    if (Fault == AttemptFault::NotSent)
+    if (Fault == AttemptFault::NotSent) {
       m_RunTracker.dispatchNeverSent();
+      m_SendIsCharged = true; // its charge was not used
+    }
     if (Fault == AttemptFault::ReportedNotRun)
       m_RunTracker.endpointReportedNotRun(true);
     // An endpoint that did not run the request does not count against the limit
@@ -70,8 +73,11 @@
   const bool Retry = MayRetry && hasTimeLeft(Now) && hasAttemptsLeft();
   // An attempt that was never sent did not reach the service, so its retry is
   // not charged to the budget.
-  if (Retry && (Fault == AttemptFault::NotSent || Budget()))
+  if (Retry && (Fault == AttemptFault::NotSent || Budget())) {
+    if (Fault != AttemptFault::NotSent)
+      m_SendIsCharged = true;
     return RetryForward{retryReason(Fault)};
+  }
   if (Retry && m_HeadDelivered)
     return AwaitEndpoint{};
   return finalAction(Fault);
--- a/packages/decide/forward_run.h
+++ b/packages/decide/forward_run.h
@@ -115,6 +115,13 @@
 
   bool isCounted() const { return m_Params.m_IsCounted; }
 
+  /// Whether the next send is charged: as a first attempt, or with a retry that
+  /// was taken from the budget for it.
+  bool sendIsCharged() const { return m_SendIsCharged; }
+
+  /// A retry was taken from the budget for the next send.
+  void onSendCharged() { m_SendIsCharged = true; }
+
   /// A new search for an endpoint starts: those that refused before may have
   /// free capacity now.
   void onAwaitEndpoint() { m_Avoided.clear(); }
@@ -153,6 +160,7 @@
   EndpointSet m_SentTo; // all endpoints, those that refused it included
   EndpointId m_Current;
   bool m_AttemptOpen = false; // an attempt is recorded and has not failed
+  bool m_SendIsCharged = true; // the first send takes no retry
   bool m_HeadDelivered = false;
   unsigned m_Attempts = 0;
 };
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -250,6 +250,7 @@
     throw net::NetError(net::Phase::Connect, true,
                         "attempt aborted while connecting");
   m_EndpointsLeft = m_Run->endpointsLeft();
+  recordSend();
   if (!To.m_Router.empty())
     onHandOver(To.m_Router);
   else
@@ -271,6 +272,24 @@
   co_return co_await relay(Source, std::move(Head));
 }
 
+// Counts the send about to happen, and logs what must not occur: a repeat that
+// no budget is charged for, and a send for a caller that has left.
+void ForwardCall::recordSend() const {
+  const bool IsRepeat = m_Run->attempts() > 0;
+  m_State.m_Metrics.countEvent(IsRepeat ? "send_repeat" : "send_first");
+  const auto Log = [&](const char *Event) {
+    m_State.m_Metrics.countEvent(Event);
+    router::logEvent(schema::WARN, Event,
+                     {{"request", m_RequestHeaders.m_Id.str()},
+                      {"endpoint", m_Target.m_Endpoint.str()},
+                      {"sends", std::to_string(m_Run->attempts())}});
+  };
+  if (!m_Run->sendIsCharged())
+    Log("send_uncharged");
+  if (m_CallerGone || m_Exchange.callerLeft())
+    Log("send_after_departure");
+}
+
 void ForwardCall::onHandOver(const PeerId &Router) {
   m_PeersTried.insert(Router);
   m_State.m_Metrics.countEvent("handed_over");
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -323,7 +323,9 @@
     const auto *CutOff = std::get_if<decide::CutOff>(&Step);
     m_State.m_Metrics.countRefusal(CutOff ? CutOff->m_Reason
                                           : schema::NO_ENDPOINT);
-    logOutcome("cut_off", 0);
+    logOutcome("cut_off", 0,
+               CutOff ? router::reasonName(CutOff->m_Reason)
+                      : "no endpoint in time");
     m_Exchange.abort();
   }
   co_return false;
@@ -338,9 +340,10 @@
   while (!m_ReservedTarget && !HandOver && !m_CallerGone &&
          m_Run->mayReroute(ForwardState::now())) {
     co_await sleepFor(m_State.m_Io, ChainCheckInterval);
-    if (!m_State.m_Reach.cutOff())
-      reserveWithRetry({}, ForwardState::now());
-    else
+    if (!m_State.m_Reach.cutOff()) {
+      if (reserveWithRetry({}, ForwardState::now()))
+        m_Run->onSendCharged();
+    } else
       HandOver = choosePeer().has_value();
   }
   m_State.m_Metrics.countEvent(
@@ -396,12 +399,15 @@
         m_FirstEventAt ? router::formatMillis(Now - m_LastEventAt) : "none"}});
 }
 
-void ForwardCall::logOutcome(const std::string &Outcome, unsigned Status) {
+void ForwardCall::logOutcome(const std::string &Outcome, unsigned Status,
+                             const std::string &Reason) {
   std::vector<router::LogField> Fields{
       {"request", m_RequestHeaders.m_Id.str()},
       {"outcome", Outcome},
       {"status", std::to_string(Status)},
       {"ms", router::formatMillis(ForwardState::now() - m_ArrivedAt)}};
+  if (!Reason.empty())
+    Fields.push_back({"reason", Reason});
   if (m_Route) {
     Fields.push_back({"route", m_Route->m_Name});
     Fields.push_back({"service", m_Service.str()});
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -75,6 +75,7 @@
   std::optional<Target> choosePeer();
   bool mayHandOver() const;
   void onHandOver(const PeerId &Router);
+  void recordSend() const;
   std::optional<Target> chooseChain();
   Target targetOf(const decide::Chain &Chain) const;
   std::optional<Target> choosePlainTarget();
@@ -130,7 +131,8 @@
   void charge(const Target &To, int Sign);
   void chargeMemory(const Target &To, int Sign);
   void abortAttempt(AbortReason Reason);
-  void logOutcome(const std::string &Outcome, unsigned Status);
+  void logOutcome(const std::string &Outcome, unsigned Status,
+                  const std::string &Reason = "");
 
   ForwardState &m_State;
   std::shared_ptr<std::set<ForwardCall *>> m_Calls;
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -74,17 +74,16 @@
     m_DisconnectWatch = std::make_shared<DisconnectWatch>();
     m_DisconnectWatch->m_OnDisconnect = std::move(OnDisconnect);
     auto &Socket = beast::get_lowest_layer(m_Stream).socket();
-    Socket.async_wait(tcp::socket::wait_read, [Watch = m_DisconnectWatch,
-                                               &Socket](
-                                                  beast::error_code Code) {
-      if (Code || Watch->m_Done)
-        return;
-      char Byte = 0;
-      Socket.non_blocking(true, Code);
-      Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Code);
-      if (Code && Code != asio::error::would_block)
-        Watch->m_OnDisconnect();
-    });
+    Socket.async_wait(
+        tcp::socket::wait_read,
+        [Watch = m_DisconnectWatch, &Socket](beast::error_code Code) {
+          if (!Code && !Watch->m_Done && isClosed(Socket))
+            Watch->m_OnDisconnect();
+        });
+  }
+
+  bool callerLeft() override {
+    return isClosed(beast::get_lowest_layer(m_Stream).socket());
   }
 
   asio::awaitable<void> respond(HttpResponse Response) override {
@@ -147,6 +146,16 @@
     beast::get_lowest_layer(m_Stream).expires_after(m_WriteTimeout);
   }
 
+  // Whether the peer has closed the connection; not known while bytes are
+  // unread.
+  static bool isClosed(tcp::socket &Socket) {
+    char Byte = 0;
+    beast::error_code Code;
+    Socket.non_blocking(true, Code);
+    Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Code);
+    return Code && Code != asio::error::would_block;
+  }
+
   struct DisconnectWatch {
     std::function<void()> m_OnDisconnect;
     bool m_Done = false;
--- a/packages/net/server.h
+++ b/packages/net/server.h
@@ -45,6 +45,11 @@
   /// exchange ends. \pre Called at most once per exchange.
   virtual void watchCaller(std::function<void()> OnDisconnect) = 0;
 
+  /// Whether the caller has closed the connection, by the state of the socket
+  /// at the moment of the call. The callback of `watchCaller` runs later, when
+  /// the event loop gets to it.
+  virtual bool callerLeft() = 0;
+
   /// Closes the connection, so that the caller sees a stream as truncated.
   virtual void abort() = 0;
 
