--- a/tests/process/forward_hand_over_test.cpp
+++ b/tests/process/forward_hand_over_test.cpp
@@ -1,7 +1,7 @@
 // A router that reaches no endpoint, beside one that serves. Each has endpoints
 // and a store of its own, so that those of the first can fail for it alone.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "platform/forward_helpers.h"
+#include "platform/cut_off_router.h"
 #include "platform/names.h"
 #include "platform/router_rows_codec.h"
 
@@ -14,89 +14,6 @@
 using namespace mimosadale::tests;
 using namespace std::chrono_literals;
 
-namespace {
-
-const std::vector<std::string> Endpoints{"fukuoka0",  "fukuoka1",  "fukuoka2",
-                                         "kumamoto0", "kumamoto1", "kumamoto2",
-                                         "b1",        "b2"};
-
-// The users' rule binds this long after the cut began.
-constexpr auto StableTime = 3s;
-
-const std::string NoRetryBudget = "slack = 0\nfraction = 0\n";
-
-enum class CutKind { Hang, Refuse };
-
-struct Beside {
-  // The routers compare their rows: those of the first are the newer ones.
-  explicit Beside(const std::string &Retries = LargeRetryBudget) {
-    addDefaultEndpoints(m_Cut);
-    writeUnrelatedRows(m_Cut);
-    addDefaultEndpoints(m_Sound);
-    m_First = std::make_unique<ForwardRouter>(m_Cut, "r1", Retries);
-    m_Second = std::make_unique<ForwardRouter>(m_Sound, "r2", Retries);
-    waitUntilServing(*m_First);
-    add(*m_Second);
-  }
-
-  // Waits until \p Router serves and the first router knows it.
-  void add(ForwardRouter &Router) {
-    waitUntilServing(Router);
-    m_Cut.put(platform::RoutersTable, Router.name(),
-              platform::encodeRouter(
-                  {Router.peerAddress(), DataCentreId("kumamoto"), 1}));
-    ++m_RouterCount;
-    REQUIRE(harness::waitUntil(
-        [&] { return knownRouterCount(*m_First) == m_RouterCount; }));
-  }
-
-  void cut(CutKind Kind = CutKind::Hang) {
-    for (const std::string &Id : Endpoints)
-      if (Kind == CutKind::Hang)
-        m_Cut.stopResponding(Id);
-      else
-        m_Cut.refuseConnections(Id);
-  }
-  void restore(CutKind Kind) {
-    for (const std::string &Id : Endpoints)
-      if (Kind == CutKind::Hang)
-        m_Cut.resumeResponding(Id);
-      else
-        m_Cut.takeConnections(Id);
-  }
-
-  net::HttpResponse call(const std::string &Target, const std::string &Id,
-                         const std::string &Key = "key") const {
-    return harness::sendRequest("POST", m_First->callerAddress(), Target,
-                                requestHeaders(Id, Key), "body");
-  }
-  // \returns the last event id of a complete stream, 0 of any other.
-  unsigned stream(const std::string &Id) const {
-    harness::EventStream Stream(m_First->callerAddress(), "/guide/x",
-                                requestHeaders(Id), "x");
-    if (Stream.status() != 200)
-      return 0;
-    const unsigned Last = readInOrder(Stream);
-    return Stream.isComplete() ? Last : 0;
-  }
-  // Callers keep sending, as the cut is noticed by their requests.
-  void sendUntilNoticed() const {
-    const auto End = std::chrono::steady_clock::now() + StableTime;
-    for (int I = 0; std::chrono::steady_clock::now() < End; ++I) {
-      call("/look/early", "early" + std::to_string(I));
-      stream("early-stream" + std::to_string(I));
-    }
-  }
-
-  FakePlatform m_Cut;
-  FakePlatform m_Sound;
-  std::unique_ptr<ForwardRouter> m_First;
-  std::unique_ptr<ForwardRouter> m_Second;
-  unsigned m_RouterCount = 1; // that the first is to know, itself included
-};
-
-} // namespace
-
 // Guards against callers of a router that reaches no endpoint being refused
 // while another router serves.
 TEST_CASE("connections of a router to all endpoints hang, or are refused: "
@@ -104,7 +21,7 @@
           "them itself afterwards") {
   for (const CutKind Kind : {CutKind::Hang, CutKind::Refuse}) {
     CAPTURE(static_cast<int>(Kind));
-    Beside Routers;
+    CutOffRouter Routers;
     Routers.cut(Kind);
     Routers.sendUntilNoticed();
     CAPTURE(Routers.m_First->log());
@@ -130,9 +47,9 @@
 
 TEST_CASE("no router reaches an endpoint: the request is refused at once as "
           "not run, with when to come back, and goes in no circle") {
-  Beside Routers;
+  CutOffRouter Routers;
   Routers.cut();
-  for (const std::string &Id : Endpoints)
+  for (const std::string &Id : DefaultEndpoints)
     Routers.m_Sound.stopResponding(Id);
   Routers.sendUntilNoticed();
   CAPTURE(Routers.m_First->log());
@@ -149,7 +66,7 @@
 
 TEST_CASE("a caller leaves a stream that another router serves: the endpoint "
           "stops") {
-  Beside Routers;
+  CutOffRouter Routers;
   Routers.cut();
   Routers.sendUntilNoticed();
   Routers.m_Sound.setEventInterval(50ms);
@@ -165,7 +82,7 @@
 
 TEST_CASE("the router that serves is lost: calls that run once are not sent "
           "again, and streams go on nowhere twice") {
-  Beside Routers;
+  CutOffRouter Routers;
   Routers.cut();
   Routers.sendUntilNoticed();
   // Both calls may reach the same endpoint.
@@ -185,7 +102,7 @@
 // deadline, while another one serves.
 TEST_CASE("one of two routers that serve a third one's callers stands still: "
           "its streams continue at the other one, and so do reads") {
-  Beside Routers;
+  CutOffRouter Routers;
   ForwardRouter Third(Routers.m_Sound, "r3");
   Routers.add(Third);
   Routers.cut();
@@ -221,7 +138,7 @@
 TEST_CASE(
     "endpoints refuse what a router that is cut off hands over: without a "
     "retry budget no second router sends it") {
-  Beside Routers(NoRetryBudget);
+  CutOffRouter Routers(NoRetryBudget);
   ForwardRouter Third(Routers.m_Sound, "r3", NoRetryBudget);
   Routers.add(Third);
   Routers.cut();
@@ -248,7 +165,7 @@
 // one to a service that no router has an endpoint for.
 TEST_CASE("a router is cut off, and a service has no endpoint anywhere: its "
           "callers of other services are served") {
-  Beside Routers;
+  CutOffRouter Routers;
   for (FakePlatform *Platform : {&Routers.m_Cut, &Routers.m_Sound}) {
     Platform->addRoute({{"Name", "ledger"},
                         {"Host", harness::loopbackIp()},
@@ -281,7 +198,7 @@
 // because the stream's engine did.
 TEST_CASE("the only other router that serves breaks a stream off, as its "
           "engine did: it gets the next requests") {
-  Beside Routers;
+  CutOffRouter Routers;
   FakePlatform AlsoCut;
   addDefaultEndpoints(AlsoCut);
   ForwardRouter Third(AlsoCut, "r3");
@@ -300,7 +217,7 @@
     Platform->configure(2);
   }
   Routers.cut();
-  for (const std::string &Id : Endpoints)
+  for (const std::string &Id : DefaultEndpoints)
     AlsoCut.stopResponding(Id);
   Routers.sendUntilNoticed();
   REQUIRE(harness::waitUntil([&] {
@@ -313,7 +230,7 @@
   harness::EventStream Broken(Routers.m_First->callerAddress(), "/once/x",
                               requestHeaders("broken", "key", 400), "x");
   REQUIRE(Broken.next());
-  for (const std::string &Id : Endpoints)
+  for (const std::string &Id : DefaultEndpoints)
     if (Id.front() != 'b')
       Routers.m_Sound.abortStreams(Id);
   while (Broken.next())
@@ -329,7 +246,7 @@
 TEST_CASE(
     "a router that is cut off knows a newer configuration than one of two "
     "others: its callers are served by that, never by the older one") {
-  Beside Routers;
+  CutOffRouter Routers;
   FakePlatform Newer;
   addDefaultEndpoints(Newer);
   ForwardRouter Third(Newer, "r3");
@@ -385,7 +302,7 @@
 // handed to.
 TEST_CASE("a router that is cut off hands requests over, and gets some of them "
           "back: each is one first attempt over all routers") {
-  Beside Routers;
+  CutOffRouter Routers;
   ForwardRouter Third(Routers.m_Sound, "r3");
   Routers.add(Third);
   Routers.cut();
@@ -430,7 +347,7 @@
     "no layers; if neither does, it orders them") {
   for (const bool Alive : {true, false}) {
     CAPTURE(Alive);
-    Beside Routers;
+    CutOffRouter Routers;
     const auto Layers = [&] {
       std::vector<decide::LayerRange> Held;
       for (const char *Id : {"fukuoka0", "fukuoka1", "fukuoka2"})
