Charge each repeat to a retry budget, before the one place where requests leave

What callers saw: repeats beyond the users' retry budget (BUDGET) while endpoints crash beside routers that are partitioned from all endpoints.

Cause: repeats were charged where an attempt failed (onFault), not where the next one is sent. A router that was cut off and whose budget denied the repeat of a stream under way looked for another router every 50 ms and handed the stream over, up to three times, charged to nobody. Class: a limit that is kept on the paths to an action instead of at the action.

Fix: ForwardRun keeps whether the next send is charged, and runExchange, through which each send goes, asks chargeSend. A send that reached nobody keeps its charge.

Ruled out for this path: first attempts counted twice, hand-backs that name no send.

--- a/packages/decide/forward_run.cpp
+++ b/packages/decide/forward_run.cpp
@@ -71,18 +71,20 @@
   const bool MayRetry = (repeatable() || m_RunTracker.notRunProof()) &&
                         (Fault != AttemptFault::Failed || !m_HeadDelivered);
   const bool Retry = MayRetry && hasTimeLeft(Now) && hasAttemptsLeft();
-  // An attempt that was never sent did not reach the service, so its retry is
-  // not charged to the budget.
-  if (Retry && (Fault == AttemptFault::NotSent || Budget())) {
-    if (Fault != AttemptFault::NotSent)
-      m_SendIsCharged = true;
+  // An attempt that was never sent did not reach the service: what it was
+  // charged with covers the next one.
+  if (Retry && chargeSend(Budget))
     return RetryForward{retryReason(Fault)};
-  }
   if (Retry && m_HeadDelivered)
     return AwaitEndpoint{};
   return finalAction(Fault);
 }
 
+bool ForwardRun::chargeSend(const SpendRetry &Budget) {
+  m_SendIsCharged = m_SendIsCharged || Budget();
+  return m_SendIsCharged;
+}
+
 bool ForwardRun::hasTimeLeft(Instant Now) const {
   return Now + MinTimeLeft < end();
 }
--- a/packages/decide/forward_run.h
+++ b/packages/decide/forward_run.h
@@ -74,7 +74,8 @@
 public:
   explicit ForwardRun(ForwardParams Params) : m_Params(Params) {}
 
-  /// Records an attempt at \p Endpoint. \pre Before the first write.
+  /// Records an attempt at \p Endpoint. \pre Before the first write, after
+  /// `chargeSend` has returned true.
   void beforeAttempt(const EndpointId &Endpoint);
 
   /// The head of the answer was delivered to the caller.
@@ -115,12 +116,14 @@
 
   bool isCounted() const { return m_Params.m_IsCounted; }
 
-  /// Whether the next send is charged: as a first attempt, or with a retry that
-  /// was taken from the budget for it.
-  bool sendIsCharged() const { return m_SendIsCharged; }
+  /// Makes sure that the next send is charged: the first one is a first
+  /// attempt, or was charged by the router that handed the request over; each
+  /// later one takes a retry from \p Budget, once. \returns false if the budget
+  /// is exhausted: the request must not be sent now.
+  bool chargeSend(const SpendRetry &Budget);
 
-  /// A retry was taken from the budget for the next send.
-  void onSendCharged() { m_SendIsCharged = true; }
+  /// Whether the next send is charged.
+  bool sendIsCharged() const { return m_SendIsCharged; }
 
   /// A new search for an endpoint starts: those that refused before may have
   /// free capacity now.
@@ -159,7 +162,7 @@
   EndpointSet m_Tried;  // distinct endpoints that may have started to run it
   EndpointSet m_SentTo; // all endpoints, those that refused it included
   EndpointId m_Current;
-  bool m_AttemptOpen = false; // an attempt is recorded and has not failed
+  bool m_AttemptOpen = false;  // an attempt is recorded and has not failed
   bool m_SendIsCharged = true; // the first send takes no retry
   bool m_HeadDelivered = false;
   unsigned m_Attempts = 0;
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -115,11 +115,21 @@
 
 ForwardAction ForwardCall::onFault(AttemptFault Fault,
                                    const decide::EndpointSet &Lost) {
-  return m_Run->onFault(Fault, Lost, ForwardState::now(), [this] {
-    return std::exchange(m_RetryReserved, false) ||
-           m_State.retryBudgetOf(m_Service).tryConsume(ForwardState::now(),
-                                                       m_State.m_RouterCount);
-  });
+  return m_Run->onFault(Fault, Lost, ForwardState::now(),
+                        [this] { return takeRetry(); });
+}
+
+// Takes the retry that is reserved for this request, or one from the budget.
+bool ForwardCall::takeRetry() {
+  return std::exchange(m_RetryReserved, false) ||
+         m_State.retryBudgetOf(m_Service).tryConsume(ForwardState::now(),
+                                                     m_State.m_RouterCount);
+}
+
+// Makes sure that the next send is charged to a retry budget, if it is a
+// repeat.
+bool ForwardCall::chargeSend() {
+  return m_Run->chargeSend([this] { return takeRetry(); });
 }
 
 // Handles a refusal by an engine on the path, or an engine that the previous
@@ -249,6 +259,10 @@
   if (m_AbortReason != AbortReason::None)
     throw net::NetError(net::Phase::Connect, true,
                         "attempt aborted while connecting");
+  // Each send passes here, whatever led to it.
+  if (!chargeSend())
+    co_return m_Run->onNoEndpoint(schema::NO_ENDPOINT, retryAfter(),
+                                  ForwardState::now());
   m_EndpointsLeft = m_Run->endpointsLeft();
   recordSend();
   if (!To.m_Router.empty())
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -340,11 +340,10 @@
   while (!m_ReservedTarget && !HandOver && !m_CallerGone &&
          m_Run->mayReroute(ForwardState::now())) {
     co_await sleepFor(m_State.m_Io, ChainCheckInterval);
-    if (!m_State.m_Reach.cutOff()) {
-      if (reserveWithRetry({}, ForwardState::now()))
-        m_Run->onSendCharged();
-    } else
-      HandOver = choosePeer().has_value();
+    if (!m_State.m_Reach.cutOff())
+      reserveChain({}, ForwardState::now(), [this] { return chargeSend(); });
+    else
+      HandOver = choosePeer().has_value() && chargeSend();
   }
   m_State.m_Metrics.countEvent(
       m_ReservedTarget || HandOver ? "place_found" : "place_not_found");
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -76,6 +76,8 @@
   bool mayHandOver() const;
   void onHandOver(const PeerId &Router);
   void recordSend() const;
+  bool takeRetry();
+  bool chargeSend();
   std::optional<Target> chooseChain();
   Target targetOf(const decide::Chain &Chain) const;
   std::optional<Target> choosePlainTarget();
@@ -110,6 +112,7 @@
   // Takes a router that is silent for long out of use, as far as others serve.
   void checkPeer(Instant Now);
   decide::StallState stallState(Instant Now) const;
+  bool reserveRetry();
   bool reserveOtherChain(Instant Now);
   boost::asio::awaitable<bool> awaitChain();
   boost::asio::awaitable<std::optional<decide::ForwardAction>>
@@ -117,7 +120,8 @@
   void onAnswerBegun();
   decide::RequestMarks makeMarks() const;
   const decide::Chain *findChain(const decide::EndpointSet &Avoid, Instant Now);
-  bool reserveWithRetry(const decide::EndpointSet &Avoid, Instant Now);
+  bool reserveChain(const decide::EndpointSet &Avoid, Instant Now,
+                    const decide::SpendRetry &Spend);
   std::optional<Target> takeReserved();
   void releaseReserved();
   bool repair(decide::RepairScope Reach, Instant Now);
--- a/packages/forward/forward_selection.cpp
+++ b/packages/forward/forward_selection.cpp
@@ -85,13 +85,12 @@
                 : nullptr;
 }
 
-// Takes a retry from the budget and charges the next target in one step, before
+// Takes a retry with \p Spend and charges the next target in one step, before
 // other requests can. \returns whether both were available.
-bool ForwardCall::reserveWithRetry(const decide::EndpointSet &Avoid,
-                                   Instant Now) {
+bool ForwardCall::reserveChain(const decide::EndpointSet &Avoid, Instant Now,
+                               const decide::SpendRetry &Spend) {
   const decide::Chain *Chosen = findChain(Avoid, Now);
-  if (!Chosen ||
-      !m_State.retryBudgetOf(m_Service).tryConsume(Now, m_State.m_RouterCount))
+  if (!Chosen || !Spend())
     return false;
   logChosenChain(*Chosen);
   m_ReservedTarget = targetOf(*Chosen);
--- a/packages/forward/forward_stall.cpp
+++ b/packages/forward/forward_stall.cpp
@@ -87,6 +87,12 @@
   return Stall;
 }
 
+// Takes a retry for the attempt that follows the current one.
+bool ForwardCall::reserveRetry() {
+  m_RetryReserved = takeRetry();
+  return m_RetryReserved;
+}
+
 // Reserves a retry and capacity on another chain, if there is one. Both are
 // taken at once, since other requests stalled by the same fault compete for
 // them.
@@ -95,8 +101,7 @@
     return false;
   decide::EndpointSet Avoid = m_Run->avoided();
   Avoid.insert(m_Target.m_Endpoint);
-  m_RetryReserved = reserveWithRetry(Avoid, Now);
-  return m_RetryReserved;
+  return reserveChain(Avoid, Now, [this] { return reserveRetry(); });
 }
 
 // Engines of the same data centre are preferred, then another chain, then
