Ask the caller's socket right before each send

Cause: a departure was a flag, set by one wait for readable bytes and read at some places. A close that was already in the socket when its request was read, a departure during the wait for a suspect or for a chain, and any departure after a byte that followed the request were not seen before the send. Class: an event that is noted once and read at some of the places that depend on it.

Fix: runExchange asks the socket before each send; the watch goes on after bytes, which are moved to the buffer of the next request.

Over TLS (the other driver) bytes are not read ahead, as before.

--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -256,10 +256,12 @@
                                     std::move(SetCancel));
   m_Connecting = false;
   m_Cancel = [Exchange = Upstream.get()] { Exchange->cancel(); };
+  // Each send passes here, whatever led to it.
+  if (callerLeft())
+    abortAttempt(AbortReason::CallerGone);
   if (m_AbortReason != AbortReason::None)
     throw net::NetError(net::Phase::Connect, true,
                         "attempt aborted while connecting");
-  // Each send passes here, whatever led to it.
   if (!chargeSend())
     co_return m_Run->onNoEndpoint(schema::NO_ENDPOINT, retryAfter(),
                                   ForwardState::now());
@@ -286,6 +288,13 @@
   co_return co_await relay(Source, std::move(Head));
 }
 
+// Whether the caller has closed its connection, also if the event loop has not
+// reported it yet.
+bool ForwardCall::callerLeft() {
+  m_CallerGone = m_CallerGone || m_Exchange.callerLeft();
+  return m_CallerGone;
+}
+
 // Counts the send about to happen, and logs what must not occur: a repeat that
 // no budget is charged for, and a send for a caller that has left.
 void ForwardCall::recordSend() const {
@@ -300,7 +309,7 @@
   };
   if (!m_Run->sendIsCharged())
     Log("send_uncharged");
-  if (m_CallerGone || m_Exchange.callerLeft())
+  if (m_CallerGone)
     Log("send_after_departure");
 }
 
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -216,6 +216,8 @@
   while (NeedsAttempt) {
     std::optional<ForwardAction> Step = co_await awaitSuspectTurn();
     std::optional<Target> NextTarget;
+    if (!Step && callerLeft())
+      Step = decide::CutOff{schema::CALLER_GONE};
     if (!Step)
       NextTarget = chooseTarget();
     if (Step) {
@@ -233,6 +235,7 @@
         co_await awaitChain())
       continue;
     if (m_CallerGone) {
+      releaseReserved();
       logOutcome("caller_gone", 0);
       m_Exchange.abort();
       co_return;
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -75,6 +75,7 @@
   std::optional<Target> choosePeer();
   bool mayHandOver() const;
   void onHandOver(const PeerId &Router);
+  bool callerLeft();
   void recordSend() const;
   bool takeRetry();
   bool chargeSend();
--- a/packages/net/server.cpp
+++ b/packages/net/server.cpp
@@ -51,12 +51,49 @@
                  Err.code().message());
 }
 
+// Limit of the bytes that are read ahead of the next request. A close behind
+// more than that is seen when the exchange writes.
+constexpr std::size_t MaxReadAheadBytes = 64u << 10;
+
+// Whether the peer of a connection has closed it. Bytes in front of the close,
+// such as those of the next request, are moved to \p NextRequest.
+bool isClosed(PlainStream &Conn, beast::flat_buffer &NextRequest) {
+  tcp::socket &Socket = Conn.socket();
+  beast::error_code Code;
+  Socket.non_blocking(true, Code);
+  while (!Code && NextRequest.size() < MaxReadAheadBytes)
+    NextRequest.commit(Socket.receive(NextRequest.prepare(4096), 0, Code));
+  return Code && Code != asio::error::would_block;
+}
+
+// The same. Encrypted bytes stay in the socket, and hide a close behind them.
+bool isClosed(TlsStream &Conn, beast::flat_buffer & /*NextRequest*/) {
+  tcp::socket &Socket = beast::get_lowest_layer(Conn).socket();
+  char Byte = 0;
+  beast::error_code Code;
+  Socket.non_blocking(true, Code);
+  Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Code);
+  return Code && Code != asio::error::would_block;
+}
+
+// Whether bytes that arrive from now on can be moved out of the socket.
+bool canReadAhead(const PlainStream & /*Conn*/,
+                  const beast::flat_buffer &NextRequest) {
+  return NextRequest.size() < MaxReadAheadBytes;
+}
+bool canReadAhead(const TlsStream & /*Conn*/,
+                  const beast::flat_buffer & /*NextRequest*/) {
+  return false;
+}
+
 // An exchange over a plain or a TLS stream.
 template <typename Stream> class StreamExchange final : public HttpExchange {
 public:
-  StreamExchange(Stream &Conn, HttpRequest Request, bool KeepAlive,
-                 Duration WriteTimeout, std::uint64_t ConnectionNumber)
-      : m_Stream(Conn), m_Request(std::move(Request)), m_KeepAlive(KeepAlive),
+  StreamExchange(Stream &Conn, beast::flat_buffer &NextRequest,
+                 HttpRequest Request, bool KeepAlive, Duration WriteTimeout,
+                 std::uint64_t ConnectionNumber)
+      : m_Stream(Conn), m_NextRequest(NextRequest),
+        m_Request(std::move(Request)), m_KeepAlive(KeepAlive),
         m_WriteTimeout(WriteTimeout), m_ConnectionNumber(ConnectionNumber) {}
 
   const HttpRequest &request() const override { return m_Request; }
@@ -69,22 +106,13 @@
       m_DisconnectWatch->m_Done = true;
   }
 
-  // The wait may outlive the exchange; it then sees m_Done and does nothing.
   void watchCaller(std::function<void()> OnDisconnect) override {
     m_DisconnectWatch = std::make_shared<DisconnectWatch>();
     m_DisconnectWatch->m_OnDisconnect = std::move(OnDisconnect);
-    auto &Socket = beast::get_lowest_layer(m_Stream).socket();
-    Socket.async_wait(
-        tcp::socket::wait_read,
-        [Watch = m_DisconnectWatch, &Socket](beast::error_code Code) {
-          if (!Code && !Watch->m_Done && isClosed(Socket))
-            Watch->m_OnDisconnect();
-        });
+    awaitBytes(m_Stream, m_NextRequest, m_DisconnectWatch);
   }
 
-  bool callerLeft() override {
-    return isClosed(beast::get_lowest_layer(m_Stream).socket());
-  }
+  bool callerLeft() override { return isClosed(m_Stream, m_NextRequest); }
 
   asio::awaitable<void> respond(HttpResponse Response) override {
     m_Started = true;
@@ -146,22 +174,29 @@
     beast::get_lowest_layer(m_Stream).expires_after(m_WriteTimeout);
   }
 
-  // Whether the peer has closed the connection; not known while bytes are
-  // unread.
-  static bool isClosed(tcp::socket &Socket) {
-    char Byte = 0;
-    beast::error_code Code;
-    Socket.non_blocking(true, Code);
-    Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Code);
-    return Code && Code != asio::error::would_block;
-  }
-
   struct DisconnectWatch {
     std::function<void()> m_OnDisconnect;
     bool m_Done = false;
   };
 
+  // Waits until bytes or a close arrive, as often as bytes do. The wait may
+  // outlive the exchange; it then sees m_Done and does nothing.
+  static void awaitBytes(Stream &Conn, beast::flat_buffer &NextRequest,
+                         std::shared_ptr<DisconnectWatch> Watch) {
+    auto &Socket = beast::get_lowest_layer(Conn).socket();
+    Socket.async_wait(tcp::socket::wait_read,
+                      [&Conn, &NextRequest, Watch](beast::error_code Code) {
+                        if (Code || Watch->m_Done)
+                          return;
+                        if (isClosed(Conn, NextRequest))
+                          Watch->m_OnDisconnect();
+                        else if (canReadAhead(Conn, NextRequest))
+                          awaitBytes(Conn, NextRequest, Watch);
+                      });
+  }
+
   Stream &m_Stream;
+  beast::flat_buffer &m_NextRequest;
   std::shared_ptr<DisconnectWatch> m_DisconnectWatch;
   HttpRequest m_Request;
   bool m_KeepAlive;
@@ -392,9 +427,9 @@
       }
       auto Message = Parser.release();
       KeepAlive = Message.keep_alive() && !m_Stopping && !m_CloseAfterResponse;
-      StreamExchange<Stream> Exchange(Conn, fromBeast(std::move(Message)),
-                                      KeepAlive, limits().m_WriteTimeout,
-                                      ConnectionNumber);
+      StreamExchange<Stream> Exchange(
+          Conn, Buffer, fromBeast(std::move(Message)), KeepAlive,
+          limits().m_WriteTimeout, ConnectionNumber);
       beast::get_lowest_layer(Conn).expires_never();
       co_await m_Hooks.m_Handle(Exchange);
       // A stop may have started while the request was handled.
--- a/packages/net/server.h
+++ b/packages/net/server.h
@@ -42,7 +42,8 @@
   virtual boost::asio::awaitable<void> finish() = 0;
 
   /// Calls \p OnDisconnect once if the caller closes the connection before the
-  /// exchange ends. \pre Called at most once per exchange.
+  /// exchange ends, also behind bytes of its next request. \pre Called at most
+  /// once per exchange.
   virtual void watchCaller(std::function<void()> OnDisconnect) = 0;
 
   /// Whether the caller has closed the connection, by the state of the socket
