Abandon a stalled attempt only with the retry that its successor needs

Cause: a router that takes itself for cut off, or whose peer was silent for 1.6 s, aborted the attempt first and asked the budget after that. Denied, the stream could only wait, although its endpoint went on.

Fix: the retry is reserved before the attempt is abandoned, as for a change of chains.

--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -115,6 +115,7 @@
   decide::StallState stallState(Instant Now) const;
   bool reserveRetry();
   bool reserveOtherChain(Instant Now);
+  bool reserveOtherTarget(Instant Now);
   boost::asio::awaitable<bool> awaitChain();
   boost::asio::awaitable<std::optional<decide::ForwardAction>>
   awaitSuspectTurn();
--- a/packages/forward/forward_stall.cpp
+++ b/packages/forward/forward_stall.cpp
@@ -37,7 +37,7 @@
 
 void ForwardCall::onTick(Instant Now) {
   m_PathOverdue = false;
-  if (!m_Run || !m_AttemptActive)
+  if (!m_Run || !m_AttemptActive || m_AbortReason != AbortReason::None)
     return;
   if (Now >= m_Run->end()) {
     abortAttempt(AbortReason::Timeout);
@@ -52,9 +52,7 @@
     m_PathOverdue = Step != decide::StallAction::Wait;
     if (Step == decide::StallAction::Repair)
       repairOrReroute(Stall, Now);
-    else if (Step == decide::StallAction::Reroute &&
-             (reserveOtherChain(Now) ||
-              (m_State.m_Reach.cutOff() && choosePeer().has_value())))
+    else if (Step == decide::StallAction::Reroute && reserveOtherTarget(Now))
       abortAttempt(AbortReason::EngineLost);
   }
 }
@@ -67,7 +65,7 @@
   if (Step == decide::PeerAction::Wait)
     return;
   m_State.m_PeerChooser.onInterrupted(m_Target.m_Router, Now);
-  if (Step == decide::PeerAction::Reroute)
+  if (Step == decide::PeerAction::Reroute && reserveRetry())
     abortAttempt(AbortReason::EngineLost);
 }
 
@@ -97,13 +95,20 @@
 // taken at once, since other requests stalled by the same fault compete for
 // them.
 bool ForwardCall::reserveOtherChain(Instant Now) {
-  if (m_AbortReason != AbortReason::None)
-    return false;
   decide::EndpointSet Avoid = m_Run->avoided();
   Avoid.insert(m_Target.m_Endpoint);
   return reserveChain(Avoid, Now, [this] { return reserveRetry(); });
 }
 
+// Reserves what the attempt needs to continue elsewhere. An attempt is not
+// abandoned before: without a retry it could only wait, although the endpoint
+// may go on.
+bool ForwardCall::reserveOtherTarget(Instant Now) {
+  if (m_State.m_Reach.cutOff() && choosePeer())
+    return reserveRetry();
+  return reserveOtherChain(Now);
+}
+
 // Engines of the same data centre are preferred, then another chain, then
 // engines of other data centres. The last two apply only if an engine is
 // already lost.
--- a/tests/process/forward_peer_streams_test.cpp
+++ b/tests/process/forward_peer_streams_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/cut_off_router.h"
 
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace mimosadale;
 using namespace mimosadale::tests;
@@ -48,3 +49,31 @@
   CHECK_FALSE(Stream.isComplete());
   CHECK(Routers.m_Sound.runCount("broken") == 1);
 }
+
+// Guards against streams that are abandoned before their repeat is charged:
+// without one they could not continue, although their endpoints did.
+TEST_CASE("all endpoints of a router are silent for less than a second, and "
+          "the retry budget is empty: its streams go on where they are") {
+  CutOffRouter Routers(NoRetryBudget);
+  Routers.m_Cut.setEventInterval(20ms);
+  constexpr int StreamCount = 6;
+  Streams Open;
+  for (int I = 0; I < StreamCount; ++I) {
+    Open.push_back(std::make_unique<harness::EventStream>(
+        Routers.m_First->callerAddress(), "/guide/x",
+        requestHeaders("s" + std::to_string(I), "key", 100), "x"));
+    REQUIRE(Open.back()->next());
+  }
+  Routers.cut();
+  std::this_thread::sleep_for(900ms);
+  Routers.restore(CutKind::Hang);
+  CAPTURE(Routers.m_First->log());
+  for (const auto &Stream : Open) {
+    CHECK(readInOrder(*Stream, 1) == 100);
+    CHECK(Stream->isComplete());
+  }
+  for (int I = 0; I < StreamCount; ++I) {
+    const std::string Id = "s" + std::to_string(I);
+    CHECK(Routers.m_Cut.runCount(Id) + Routers.m_Sound.runCount(Id) == 1);
+  }
+}
