Break a handed-over answer off when this router is cut off as well

What callers saw: streams that stood still for 2 s, which callers then left, while an endpoint behind the partition worked on (GONE).

Cause: a router that served another one's stream and then lost its way to all endpoints itself could hand it to nobody and held it in silence; the first router noticed that after 1.6 s. Class: a failure that one router knows of and another one waits out.

Fix: such a router breaks the answer off after a stall of 0.25 s, or at once while it looks for a chain, and the first router continues it elsewhere, charged as any repeat. A cut-off router also hands its own callers' streams on after 0.25 s without waiting for an unanswered repair order.

What cannot be told to an endpoint behind a partition, that its caller has left, stays open: the endpoints' protocol has no other way than the connection.

--- a/packages/decide/stall_policy.cpp
+++ b/packages/decide/stall_policy.cpp
@@ -37,6 +37,10 @@
 StallAction stallAction(const StallState &State) {
   const Duration Allowance =
       State.m_HasEvent ? Duration{} : State.m_FirstEventLimit;
+  // No engine answers polls or repair orders of this router.
+  if (State.m_CutOff && State.m_MayReroute &&
+      State.m_StallTime > RerouteStall + Allowance)
+    return StallAction::Reroute;
   if (State.m_Repairing)
     return State.m_MayReroute && State.m_StallTime > MaxStall
                ? StallAction::Reroute
--- a/packages/decide/stall_policy.h
+++ b/packages/decide/stall_policy.h
@@ -18,6 +18,7 @@
   bool m_Repairing = false;     // an order to change the path is in progress
   bool m_MayRepair = false;     // another such order may be sent
   bool m_MayReroute = false;    // it may be repeated, and attempts are left
+  bool m_CutOff = false;        // this router reaches no endpoint
 };
 
 enum class StallAction {
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -98,6 +98,8 @@
 
 // Returns the next step after this router aborted the attempt.
 ForwardAction ForwardCall::stepAfterAbort() {
+  if (m_AbortReason == AbortReason::EngineLost && leavesToSender())
+    return decide::CutOff{schema::NO_ENDPOINT};
   if (m_AbortReason == AbortReason::EngineLost) {
     const Instant Now = ForwardState::now();
     decide::EndpointSet Lost;
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -116,6 +116,7 @@
   bool reserveRetry();
   bool reserveOtherChain(Instant Now);
   bool reserveOtherTarget(Instant Now);
+  bool leavesToSender() const;
   boost::asio::awaitable<bool> awaitChain();
   boost::asio::awaitable<std::optional<decide::ForwardAction>>
   awaitSuspectTurn();
--- a/packages/forward/forward_selection.cpp
+++ b/packages/forward/forward_selection.cpp
@@ -40,6 +40,13 @@
          m_PeersTried.size() < MaxPeersTried;
 }
 
+// Whether the request, which another router handed over, is to continue there:
+// this router is cut off now as well. Breaking off the answer tells the other
+// router at once, which would wait for its own limit of silence otherwise.
+bool ForwardCall::leavesToSender() const {
+  return m_Sender == Sender::Router && m_State.m_Reach.cutOff();
+}
+
 std::optional<ForwardCall::Target> ForwardCall::choosePeer() {
   if (!mayHandOver())
     return std::nullopt;
--- a/packages/forward/forward_stall.cpp
+++ b/packages/forward/forward_stall.cpp
@@ -81,7 +81,9 @@
   Stall.m_PathLeaving = Path.m_OtherLeaving;
   Stall.m_Repairing = m_RepairInProgress;
   Stall.m_MayRepair = m_RepairCount < MaxRepairs;
-  Stall.m_MayReroute = m_Route->m_Resumable && m_Run->mayReroute(Now);
+  Stall.m_MayReroute =
+      m_Route->m_Resumable && (leavesToSender() || m_Run->mayReroute(Now));
+  Stall.m_CutOff = m_State.m_Reach.cutOff();
   return Stall;
 }
 
@@ -104,6 +106,8 @@
 // abandoned before: without a retry it could only wait, although the endpoint
 // may go on.
 bool ForwardCall::reserveOtherTarget(Instant Now) {
+  if (leavesToSender())
+    return true;
   if (m_State.m_Reach.cutOff() && choosePeer())
     return reserveRetry();
   return reserveOtherChain(Now);
--- a/tests/process/forward_peer_streams_test.cpp
+++ b/tests/process/forward_peer_streams_test.cpp
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "platform/cut_off_router.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <thread>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+// Silence of another router after which a router moves its streams by itself.
+constexpr auto MaxPeerSilence = 1600ms;
+
 // Deadline of a caller, shorter than the default.
 harness::Headers shortHeaders(const std::string &RequestId) {
   harness::Headers Headers = requestHeaders(RequestId, "key", 400);
@@ -77,3 +81,49 @@
     CHECK(Routers.m_Cut.runCount(Id) + Routers.m_Sound.runCount(Id) == 1);
   }
 }
+
+// Guards against callers that leave a silent stream: a router that had lost its
+// way to the endpoints held the streams that it served for another router.
+TEST_CASE("a router that serves another one's streams is cut off as well: they "
+          "go on at a third router before its silence is noticed") {
+  CutOffRouter Routers;
+  FakePlatform ThirdPlatform;
+  addDefaultEndpoints(ThirdPlatform);
+  ForwardRouter Third(ThirdPlatform, "r3");
+  Routers.add(Third);
+  Routers.cut();
+  Routers.sendUntilNoticed();
+  Routers.m_Sound.setEventInterval(20ms);
+  ThirdPlatform.setEventInterval(20ms);
+  constexpr int StreamCount = 4;
+  Streams Open;
+  for (int I = 0; I < StreamCount; ++I) {
+    Open.push_back(std::make_unique<harness::EventStream>(
+        Routers.m_First->callerAddress(), "/guide/x",
+        requestHeaders("s" + std::to_string(I), "key", 200), "x"));
+    REQUIRE(Open.back()->next());
+  }
+  FakePlatform &Lost = Routers.m_Sound.activeStreamCount() >= StreamCount / 2
+                           ? Routers.m_Sound
+                           : ThirdPlatform;
+  const auto CutAt = std::chrono::steady_clock::now();
+  for (const std::string &Id : DefaultEndpoints)
+    Lost.stopResponding(Id);
+  CAPTURE(Routers.m_First->log());
+  for (const auto &Stream : Open) {
+    auto LastAt = CutAt;
+    auto LongestGap = 0ns;
+    unsigned Events = 1;
+    while (Stream->next()) {
+      const auto Now = std::chrono::steady_clock::now();
+      LongestGap = std::max(LongestGap, Now - std::max(LastAt, CutAt));
+      LastAt = std::max(Now, CutAt);
+      ++Events;
+    }
+    CHECK(Stream->isComplete());
+    CHECK(Events == 200);
+    // Streams are read one after the other: only the first gap is its own.
+    if (Stream == Open.front())
+      CHECK(LongestGap < MaxPeerSilence);
+  }
+}
