Break off only what the first router can continue, and only from a lost engine

Evidence, forward_peer_streams_test, new case (MaxAttempts 1, empty budget, 0.9 s of silence): the stream ended after event 1 on the code before; passes now, with the five other cases.

--- a/packages/decide/stall_policy.cpp
+++ b/packages/decide/stall_policy.cpp
@@ -37,8 +37,9 @@
 StallAction stallAction(const StallState &State) {
   const Duration Allowance =
       State.m_HasEvent ? Duration{} : State.m_FirstEventLimit;
-  // No engine answers polls or repair orders of this router.
-  if (State.m_CutOff && State.m_MayReroute &&
+  // A repair order of this router would not reach the engine. Streams over
+  // connections that live on are no reason to suspect it.
+  if (State.m_CutOff && State.m_FirstLost && State.m_MayReroute &&
       State.m_StallTime > RerouteStall + Allowance)
     return StallAction::Reroute;
   if (State.m_Repairing)
--- a/packages/forward/forward_selection.cpp
+++ b/packages/forward/forward_selection.cpp
@@ -23,8 +23,10 @@
   if (CutOff && m_Sender == Sender::Router)
     return std::nullopt;
   if (CutOff)
-    if (auto Peer = choosePeer())
+    if (auto Peer = choosePeer()) {
+      releaseReserved();
       return Peer;
+    }
   if (auto Endpoint = chooseEndpoint())
     return Endpoint;
   return m_State.suspectsSome(m_Service) ? choosePeer() : std::nullopt;
@@ -42,9 +44,11 @@
 
 // Whether the request, which another router handed over, is to continue there:
 // this router is cut off now as well. Breaking off the answer tells the other
-// router at once, which would wait for its own limit of silence otherwise.
+// router at once, which would wait for its own limit of silence otherwise. One
+// for which no further endpoint is left could not continue it.
 bool ForwardCall::leavesToSender() const {
-  return m_Sender == Sender::Router && m_State.m_Reach.cutOff();
+  return m_Sender == Sender::Router && m_State.m_Reach.cutOff() &&
+         m_HandOverMark.m_EndpointsLeft > 1;
 }
 
 std::optional<ForwardCall::Target> ForwardCall::choosePeer() {
--- a/tests/process/forward_peer_streams_test.cpp
+++ b/tests/process/forward_peer_streams_test.cpp
@@ -127,3 +127,40 @@
       CHECK(LongestGap < MaxPeerSilence);
   }
 }
+
+// Guards against streams that are broken off although no router can continue
+// them, while their endpoints only paused.
+TEST_CASE("all endpoints of a router that serves another one's stream are "
+          "silent for less than a second, and the stream may go to no further "
+          "endpoint: it goes on where it is") {
+  CutOffRouter Routers(NoRetryBudget);
+  for (FakePlatform *Platform : {&Routers.m_Cut, &Routers.m_Sound}) {
+    Platform->addRoute({{"Name", "single"},
+                        {"Host", harness::loopbackIp()},
+                        {"Prefix", "/single/"},
+                        {"RouteType", "streaming"},
+                        {"TimeoutMs", 20000},
+                        {"TargetLatencyMs", 500},
+                        {"Service", "llm"},
+                        {"MaxAttempts", 1},
+                        {"StreamResume", true},
+                        {"GapTargetMs", 200}});
+    Platform->configure(2);
+  }
+  Routers.cut();
+  Routers.sendUntilNoticed();
+  Routers.m_Sound.setEventInterval(20ms);
+  harness::EventStream Stream(Routers.m_First->callerAddress(), "/single/x",
+                              requestHeaders("single", "key", 100), "x");
+  REQUIRE(Stream.next());
+  for (const std::string &Id : DefaultEndpoints)
+    Routers.m_Sound.stopResponding(Id);
+  std::this_thread::sleep_for(900ms);
+  for (const std::string &Id : DefaultEndpoints)
+    Routers.m_Sound.resumeResponding(Id);
+  CAPTURE(Routers.m_First->log());
+  CAPTURE(Routers.m_Second->log());
+  CHECK(readInOrder(Stream, 1) == 100);
+  CHECK(Stream.isComplete());
+  CHECK(Routers.m_Sound.runCount("single") == 1);
+}
