Count a peer as tried before it is connected to; repeat after a peer's failure

- A router whose connection was refused was not counted as tried: a cut-off router with no peer left connected to it as fast as it could until the request's deadline.
- A 502 or 504 of a peer ended a stream under way; it counts as a broken attempt now, as an endpoint's does.
The case 'before its answer' passes on the code before as well, if the serving router retries by itself: the budgets of the peers are empty in it, so that the first router has to.
- A repair order answered late changed the path of the attempt that had followed: attempts are told apart by their start now.

Requests count as first attempts at the router that their callers chose, once, as that router pays for their repeats: a cut-off router got no allowance for its own traffic.

--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -34,6 +34,8 @@
   m_Splitter.discardPartial();
   m_AttemptStartedAt = m_LastProgressAt = ForwardState::now();
   m_AttemptActive = true;
+  if (!m_Target.m_Router.empty())
+    m_PeersTried.insert(m_Target.m_Router);
   if (!std::exchange(m_Charged, false))
     charge(m_Target, 1);
   std::optional<ForwardAction> Step;
@@ -270,7 +272,7 @@
   m_EndpointsLeft = m_Run->endpointsLeft();
   recordSend();
   if (!To.m_Router.empty())
-    onHandOver(To.m_Router);
+    m_State.m_Metrics.countEvent("handed_over");
   else
     countFirstAttempt();
   m_Run->beforeAttempt(To.m_Endpoint);
@@ -315,11 +317,6 @@
     Log("send_after_departure");
 }
 
-void ForwardCall::onHandOver(const PeerId &Router) {
-  m_PeersTried.insert(Router);
-  m_State.m_Metrics.countEvent("handed_over");
-}
-
 // Relays the answer of another router as it is, its refusals too, unless it
 // hands the request back.
 asio::awaitable<std::optional<ForwardAction>>
@@ -353,7 +350,7 @@
   }
   if (m_Run->headDelivered())
     co_return onFault(Head.m_Status == 503 ? AttemptFault::ReportedNotRun
-                                           : AttemptFault::Failed);
+                                           : AttemptFault::Broken);
   logOutcome("handed_over", Head.m_Status);
   m_AttemptActive = false;
   co_await writeToCaller(m_Exchange.respond(std::move(Answer)));
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -207,10 +207,9 @@
     m_CallerGone = true;
     abortAttempt(AbortReason::CallerGone);
   });
-  // One that another router hands over, or this one will, counts where it is
-  // first sent to an endpoint.
-  if (m_Sender == Sender::Caller &&
-      (!mayHandOver() || !m_State.m_Reach.cutOff()))
+  // The router that its caller chose counts a request, as that one pays for its
+  // repeats.
+  if (m_Sender == Sender::Caller)
     countFirstAttempt();
   bool NeedsAttempt = true;
   while (NeedsAttempt) {
@@ -229,8 +228,10 @@
       Step = onNoTarget();
     }
     m_SuspectTurn.reset();
-    if (!Step)
+    if (!Step) {
+      releaseReserved();
       co_return; // the answer was sent
+    }
     if (std::holds_alternative<decide::AwaitEndpoint>(*Step) &&
         co_await awaitChain())
       continue;
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -74,7 +74,6 @@
   std::optional<Target> chooseEndpoint();
   std::optional<Target> choosePeer();
   bool mayHandOver() const;
-  void onHandOver(const PeerId &Router);
   bool callerLeft();
   void recordSend() const;
   bool takeRetry();
--- a/packages/forward/forward_stall.cpp
+++ b/packages/forward/forward_stall.cpp
@@ -155,7 +155,7 @@
   ForwardState &State = m_State;
   const EndpointId First = m_Target.m_Endpoint;
   const RequestId Id = m_RequestHeaders.m_Id;
-  const unsigned Attempts = m_Run->attempts();
+  const Instant AttemptStartedAt = m_AttemptStartedAt;
   net::HttpRequest Order;
   Order.m_Method = "POST";
   Order.m_Target = platform::OrderPath;
@@ -183,7 +183,7 @@
                     {"fault_at", FaultAddress},
                     {"detail", Detail}});
   if (Calls->contains(this) && m_RequestHeaders.m_Id == Id &&
-      m_Run->attempts() == Attempts)
+      m_AttemptStartedAt == AttemptStartedAt)
     onPathOrdered(NewPath, Status, FaultAddress);
 }
 
--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -610,8 +610,7 @@
     {
       const std::lock_guard Lock(m_Mutex);
       recordRun(Id, {&Instance});
-      DropsAnswer =
-          Instance.m_AnswersToDrop > 0 && Instance.m_AnswersToDrop-- > 0;
+      DropsAnswer = dropsAnswer(Instance);
     }
     const bool Crashes = crashesOn(Request);
     if (Crashes) {
@@ -846,6 +845,12 @@
   return !StalledOn.empty();
 }
 
+// Whether the endpoint closes the connection instead of its next answer.
+bool FakePlatform::dropsAnswer(Endpoint &Instance) {
+  const std::lock_guard Lock(m_Mutex);
+  return Instance.m_AnswersToDrop > 0 && Instance.m_AnswersToDrop-- > 0;
+}
+
 bool FakePlatform::sendsOnlyComments(const Endpoint &Instance) {
   const std::lock_guard Lock(m_Mutex);
   return Instance.m_SendsOnlyComments;
@@ -905,6 +910,10 @@
                          ""};
   addStateHeaders(Instance, Head);
   const bool Crashes = crashesOn(Request);
+  if (dropsAnswer(Instance)) {
+    Exchange.abort();
+    co_return;
+  }
   co_await Exchange.startStream(std::move(Head));
   if (Crashes) {
     co_await sleepFor(m_EventInterval.load());
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -244,6 +244,7 @@
   // Requires m_Mutex.
   void closeConnections(Endpoint &Instance);
   bool isStalled(int Number);
+  bool dropsAnswer(Endpoint &Instance);
   bool sendsOnlyComments(const Endpoint &Instance);
   bool isActive(int Number);
   net::HttpResponse engineReport(const Endpoint &Instance);
--- a/tests/process/forward_peer_streams_test.cpp
+++ b/tests/process/forward_peer_streams_test.cpp
@@ -164,3 +164,65 @@
   CHECK(Stream.isComplete());
   CHECK(Routers.m_Sound.runCount("single") == 1);
 }
+
+// Guards against a router that connects to others without pause until the
+// deadline of the request.
+TEST_CASE("a router is cut off, and all others refuse connections: each is "
+          "tried once for a request") {
+  CutOffRouter Routers;
+  Routers.cut(CutKind::Refuse);
+  Routers.sendUntilNoticed();
+  Routers.m_Second->process().kill();
+  constexpr int Requests = 5;
+  for (int I = 0; I < Requests; ++I)
+    CHECK(Routers.call("/look/a", "l" + std::to_string(I)).m_Status == 503);
+  const std::string Log = Routers.m_First->log();
+  CAPTURE(Log);
+  for (int I = 0; I < Requests; ++I) {
+    const std::string Sent =
+        "\"request\":\"l" + std::to_string(I) + "\",\"after\":\"router:";
+    std::size_t Count = 0;
+    for (std::size_t Pos = Log.find(Sent); Pos != std::string::npos;
+         Pos = Log.find(Sent, Pos + 1))
+      ++Count;
+    CHECK(Count <= 1);
+  }
+}
+
+// Guards against streams under way that end because another router could not
+// continue them, although a third one can.
+TEST_CASE("a stream goes on at another router, whose endpoint breaks off "
+          "before its answer: it goes on at a third one") {
+  CutOffRouter Routers;
+  FakePlatform ThirdPlatform;
+  addDefaultEndpoints(ThirdPlatform);
+  ForwardRouter Third(ThirdPlatform, "r3", NoRetryBudget);
+  Routers.add(Third);
+  FakePlatform FourthPlatform;
+  addDefaultEndpoints(FourthPlatform);
+  ForwardRouter Fourth(FourthPlatform, "r4", NoRetryBudget);
+  Routers.add(Fourth);
+  Routers.cut();
+  Routers.sendUntilNoticed();
+  FakePlatform *Platforms[] = {&Routers.m_Sound, &ThirdPlatform,
+                               &FourthPlatform};
+  for (FakePlatform *Platform : Platforms)
+    Platform->setEventInterval(20ms);
+  harness::EventStream Stream(Routers.m_First->callerAddress(), "/guide/x",
+                              requestHeaders("moved", "key", 100), "x");
+  REQUIRE(Stream.next());
+  // The platform that serves it loses it, one of the others drops the next.
+  FakePlatform *const Serving = *std::find_if(
+      std::begin(Platforms), std::end(Platforms),
+      [](FakePlatform *Platform) { return Platform->activeStreamCount() > 0; });
+  FakePlatform *const Dropping =
+      Serving == &ThirdPlatform ? &FourthPlatform : &ThirdPlatform;
+  for (const std::string &Id : DefaultEndpoints)
+    if (isEngine(Id)) {
+      Dropping->dropAnswers(Id, 1);
+      Serving->abortStreams(Id);
+    }
+  CAPTURE(Routers.m_First->log());
+  CHECK(readInOrder(Stream, 1) == 100);
+  CHECK(Stream.isComplete());
+}
