Poll the engines of a stalled stream after what its chain rarely exceeds

Cause: a stall of 125 ms had the engines of a path polled, on every chain. Where an event holds five tokens, slow chains take about that long between two events, and each router polls for itself.

Change: the stall follows the intervals that the chain has shown (mean and deviation), between 125 ms and 50 ms less than the pause that the route states. Only routes with such a target, on chains that are that slow, see a difference.

--- a/packages/decide/stall_policy.cpp
+++ b/packages/decide/stall_policy.cpp
@@ -8,10 +8,6 @@
 // between two events.
 constexpr Duration RepairStall = std::chrono::milliseconds(100);
 
-// Stall after which the engines of the path are probed: half of the shortest
-// stall that counts as late, so that their answers arrive in time.
-constexpr Duration ProbeStall = std::chrono::milliseconds(125);
-
 // Stall after which a request whose path was not repaired is rerouted.
 constexpr Duration RerouteStall = std::chrono::milliseconds(250);
 
@@ -58,8 +54,9 @@
     return StallAction::Reroute;
   if (State.m_MayReroute && State.m_StallTime > MaxStall)
     return StallAction::Reroute;
-  return State.m_StallTime > ProbeStall + Allowance ? StallAction::ProbePath
-                                                    : StallAction::Wait;
+  return State.m_StallTime > State.m_ProbeStall + Allowance
+             ? StallAction::ProbePath
+             : StallAction::Wait;
 }
 
 } // namespace mimosadale::decide
--- a/packages/decide/stall_policy.h
+++ b/packages/decide/stall_policy.h
@@ -3,7 +3,7 @@
 #ifndef MIMOSADALE_DECIDE_STALL_POLICY_H
 #define MIMOSADALE_DECIDE_STALL_POLICY_H
 
-#include "base/units.h"
+#include "decide/event_interval.h"
 
 namespace mimosadale::decide {
 
@@ -12,13 +12,15 @@
   Duration m_StallTime{};       // since the last event, or since it was sent
   bool m_HasEvent = false;      // the current attempt has brought an event
   Duration m_FirstEventLimit{}; // expected time to the first event
-  bool m_FirstLost = false;     // the first engine is gone or suspect
-  bool m_PathLost = false;      // another engine of the path is gone or suspect
-  bool m_PathLeaving = false;   // another engine of the path is about to leave
-  bool m_Repairing = false;     // an order to change the path is in progress
-  bool m_MayRepair = false;     // another such order may be sent
-  bool m_MayReroute = false;    // it may be repeated, and attempts are left
-  bool m_CutOff = false;        // this router reaches no endpoint
+  // Stall after which the engines are polled.
+  Duration m_ProbeStall = probeStall({}, {});
+  bool m_FirstLost = false;   // the first engine is gone or suspect
+  bool m_PathLost = false;    // another engine of the path is gone or suspect
+  bool m_PathLeaving = false; // another engine of the path is about to leave
+  bool m_Repairing = false;   // an order to change the path is in progress
+  bool m_MayRepair = false;   // another such order may be sent
+  bool m_MayReroute = false;  // it may be repeated, and attempts are left
+  bool m_CutOff = false;      // this router reaches no endpoint
 };
 
 enum class StallAction {
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -448,6 +448,9 @@
       continue; // bytes without a complete event are no progress
     m_LastProgressAt = ForwardState::now();
     m_State.onEvents(m_Target.m_Endpoint);
+    if (m_EventSeen && !m_Target.m_Path.empty())
+      m_State.onEventInterval(m_Target.m_Endpoint,
+                              m_LastProgressAt - m_LastEventAt);
     if (m_FirstEventAt)
       m_LongestInterval =
           std::max(m_LongestInterval, m_LastProgressAt - m_LastEventAt);
--- a/packages/forward/forward_stall.cpp
+++ b/packages/forward/forward_stall.cpp
@@ -76,6 +76,9 @@
   Stall.m_StallTime = Now - m_LastProgressAt;
   Stall.m_HasEvent = m_EventSeen;
   Stall.m_FirstEventLimit = m_Route->m_TargetLatency;
+  Stall.m_ProbeStall =
+      decide::probeStall(m_State.eventIntervalBound(m_Target.m_Endpoint),
+                         m_Route->m_TargetEventInterval);
   Stall.m_FirstLost = Path.m_FirstLost;
   Stall.m_PathLost = Path.m_OtherLost;
   Stall.m_PathLeaving = Path.m_OtherLeaving;
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -260,6 +260,20 @@
       });
 }
 
+void ForwardState::onEventInterval(const EndpointId &First, Duration Interval) {
+  const auto [Known, IsNew] = m_EventIntervals.try_emplace(First);
+  Known->second.onInterval(Interval);
+  if (IsNew) // engines that were replaced are dropped here
+    std::erase_if(m_EventIntervals, [&](const auto &Item) {
+      return Item.first != First && !m_Fleet.find(Item.first);
+    });
+}
+
+Duration ForwardState::eventIntervalBound(const EndpointId &First) const {
+  const auto Known = m_EventIntervals.find(First);
+  return Known == m_EventIntervals.end() ? Duration{} : Known->second.bound();
+}
+
 // Only of interest if it is thought to be lost.
 void ForwardState::onEvents(const EndpointId &Endpoint) {
   const auto *Known = m_Fleet.find(Endpoint);
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -5,6 +5,7 @@
 #include "decide/answer_memory.h"
 #include "decide/chain_router.h"
 #include "decide/crash_suspects.h"
+#include "decide/event_interval.h"
 #include "decide/fleet.h"
 #include "decide/load_digest.h"
 #include "decide/own_reach.h"
@@ -74,6 +75,14 @@
   /// Events of a stream arrived from \p Endpoint.
   void onEvents(const EndpointId &Endpoint);
 
+  /// A stream on the chain that begins at \p First has shown this interval
+  /// between two events.
+  void onEventInterval(const EndpointId &First, Duration Interval);
+
+  /// An interval between events that this chain rarely exceeds; zero if none is
+  /// known.
+  Duration eventIntervalBound(const EndpointId &First) const;
+
   /// A call to \p Endpoint failed in \p Where: while connecting, or later.
   void onUnreached(const EndpointId &Endpoint, net::Phase Where);
 
@@ -216,6 +225,8 @@
 
   std::map<ServiceId, ChainCache> m_Chains;
   std::map<ServiceId, decide::WindowedRetryBudget> m_Budgets;
+  std::map<EndpointId, decide::EventInterval>
+      m_EventIntervals; // by first engine
 };
 
 } // namespace mimosadale::forward
