Break answers off for the first router only if no endpoint answers

Cause: a router counts as cut off as soon as three endpoints fail and at most half as many answer. When engines crash at about the same time that holds for many sound routers, which then broke off streams that they served for others: more repeats, more streams that wait for one.

--- a/packages/decide/own_reach.cpp
+++ b/packages/decide/own_reach.cpp
@@ -88,6 +88,18 @@
       });
 }
 
+bool OwnReach::reachesNone() const {
+  Instant FirstFailure = Instant::max();
+  for (const auto &[Endpoint, Known] : m_Contacts)
+    if (Known.m_FailingSince)
+      FirstFailure = std::min(FirstFailure, *Known.m_FailingSince);
+  return m_CutOff && countFailing() >= MinFailing &&
+         std::none_of(m_Contacts.begin(), m_Contacts.end(),
+                      [&](const auto &Item) {
+                        return Item.second.m_AnsweredAt > FirstFailure;
+                      });
+}
+
 std::size_t OwnReach::countFailing() const {
   return static_cast<std::size_t>(
       std::count_if(m_Contacts.begin(), m_Contacts.end(), [](const auto &Item) {
--- a/packages/decide/own_reach.h
+++ b/packages/decide/own_reach.h
@@ -47,6 +47,11 @@
   /// them over new connections, which show the end of the cut.
   bool cutOff() const { return m_CutOff; }
 
+  /// Whether this router seems to be cut off, and none of its endpoints has
+  /// answered since the first of them failed. Several endpoints that crash at
+  /// about the same time leave others that answer.
+  bool reachesNone() const;
+
   /// Whether an endpoint that this router could not connect to may be alive: it
   /// answered over an open connection since, or had no time to; or one that it
   /// does not reach answered another router.
--- a/packages/forward/forward_selection.cpp
+++ b/packages/forward/forward_selection.cpp
@@ -47,7 +47,7 @@
 // router at once, which would wait for its own limit of silence otherwise. One
 // for which no further endpoint is left could not continue it.
 bool ForwardCall::leavesToSender() const {
-  return m_Sender == Sender::Router && m_State.m_Reach.cutOff() &&
+  return m_Sender == Sender::Router && m_State.m_Reach.reachesNone() &&
          m_HandOverMark.m_EndpointsLeft > 1;
 }
 
--- a/packages/forward/forward_stall.cpp
+++ b/packages/forward/forward_stall.cpp
@@ -86,7 +86,7 @@
   Stall.m_MayRepair = m_RepairCount < MaxRepairs;
   Stall.m_MayReroute =
       m_Route->m_Resumable && (leavesToSender() || m_Run->mayReroute(Now));
-  Stall.m_CutOff = m_State.m_Reach.cutOff();
+  Stall.m_CutOff = m_State.m_Reach.reachesNone();
   return Stall;
 }
 
--- a/tests/unit/own_reach_test.cpp
+++ b/tests/unit/own_reach_test.cpp
@@ -168,3 +168,21 @@
     Reach.onConnected(endpoint(Id), T0 + 1s);
   CHECK_FALSE(Reach.cutOff());
 }
+
+// Guards against answers that are broken off because a few engines crashed.
+TEST_CASE("several endpoints crash while another one answers: the router may "
+          "take itself for cut off, but not for one that reaches none") {
+  const Instant Start{std::chrono::seconds(1000)};
+  for (const bool AnotherAnswers : {false, true}) {
+    OwnReach Reach;
+    for (int I = 0; I < 6; ++I)
+      Reach.onConnectFailed(EndpointId("e" + std::to_string(I)),
+                            Start + I * std::chrono::milliseconds(50));
+    if (AnotherAnswers)
+      Reach.onAnswered(EndpointId("sound"),
+                       Start + std::chrono::milliseconds(400));
+    CHECK(Reach.cutOff());
+    CHECK(Reach.reachesNone() == !AnotherAnswers);
+  }
+  CHECK_FALSE(OwnReach().reachesNone());
+}
