--- a/packages/decide/routing.h
+++ b/packages/decide/routing.h
@@ -88,14 +88,6 @@
   std::vector<std::string> m_Keys;
 };
 
-/// The priority of a request: that of its workspace, if it has one, before that
-/// of its route. 0 is the highest. Safe from any thread.
-inline unsigned requestPriority(const Route &From,
-                                const WorkspaceKeys *Workspace) {
-  return Workspace && Workspace->m_Priority ? *Workspace->m_Priority
-                                            : From.m_Priority;
-}
-
 /// One accepted configuration. Versions only increase.
 struct RoutingConfig {
   std::uint64_t m_Version = 0;
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -234,7 +234,6 @@
   if (!To.m_Path.empty())
     Headers.m_Path = platform::encodePath(m_State.m_Fleet, To.m_Path);
   Headers.m_LastEventId = m_Splitter.lastId();
-  Headers.m_Priority = decide::requestPriority(*m_Route, m_Workspace);
   net::HttpRequest Request =
       platform::encodeForwardRequest(m_Exchange.request(), Headers);
   if (m_Sender == Sender::Router)
