--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -259,7 +259,9 @@
       co_await m_State.m_Pool->open(To.m_Address, MaxIdle,
                                     std::move(SetCancel));
   m_Connecting = false;
-  m_Cancel = [Exchange = Upstream.get()] { Exchange->cancel(); };
+  m_Cancel = [this, Exchange = Upstream.get()] {
+    recordAbandoned(Exchange->cancel());
+  };
   // Each send passes here, whatever led to it.
   if (callerLeft())
     abortAttempt(AbortReason::CallerGone);
@@ -317,6 +319,18 @@
     Log("send_after_departure");
 }
 
+// Counts and logs an abandoned send of which the endpoint's host has not
+// acknowledged all: the endpoint is silent or out of reach.
+void ForwardCall::recordAbandoned(std::size_t UnacknowledgedBytes) const {
+  if (UnacknowledgedBytes == 0)
+    return;
+  m_State.m_Metrics.countEvent("send_unacknowledged");
+  router::logEvent(schema::INFO, "send_unacknowledged",
+                   {{"request", m_RequestHeaders.m_Id.str()},
+                    {"endpoint", m_Target.m_Endpoint.str()},
+                    {"bytes", std::to_string(UnacknowledgedBytes)}});
+}
+
 // Relays the answer of another router as it is, its refusals too, unless it
 // hands the request back.
 asio::awaitable<std::optional<ForwardAction>>
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -76,6 +76,7 @@
   bool mayHandOver() const;
   bool callerLeft();
   void recordSend() const;
+  void recordAbandoned(std::size_t UnacknowledgedBytes) const;
   bool takeRetry();
   bool chargeSend();
   std::optional<Target> chooseChain();
--- a/packages/net/upstream.cpp
+++ b/packages/net/upstream.cpp
@@ -6,9 +6,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <linux/sockios.h>
 #include <map>
 #include <optional>
 #include <string>
+#include <sys/ioctl.h>
 
 namespace mimosadale::net {
 
@@ -107,6 +109,13 @@
     return Code == asio::error::would_block;
   }
 
+  std::size_t unacknowledgedBytes() {
+    int Count = 0;
+    const bool Known = m_Socket.is_open() &&
+                       ioctl(m_Socket.native_handle(), SIOCOUTQ, &Count) == 0;
+    return Known ? static_cast<std::size_t>(Count) : 0;
+  }
+
   Address m_Server;
   tcp::socket m_Socket;
   beast::flat_buffer m_Buffer;
@@ -208,10 +217,12 @@
   co_return Body.size() > OldSize;
 }
 
-void UpstreamExchange::cancel() {
+std::size_t UpstreamExchange::cancel() {
+  const std::size_t Unacknowledged = m_Connection->unacknowledgedBytes();
   m_Connection->m_Cancelled = true;
   boost::system::error_code Ignored;
   m_Connection->m_Socket.close(Ignored);
+  return Unacknowledged;
 }
 
 bool UpstreamExchange::connectionReused() const {
--- a/packages/net/upstream.h
+++ b/packages/net/upstream.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -41,8 +42,9 @@
   /// NetError, also when the response is truncated.
   boost::asio::awaitable<bool> readSome(std::string &Body);
 
-  /// Closes the connection; operations in progress throw NetError.
-  void cancel();
+  /// Closes the connection; operations in progress throw NetError. \returns the
+  /// number of bytes sent that the server's host has not acknowledged.
+  std::size_t cancel();
 
   /// Whether the connection carried an earlier exchange.
   bool connectionReused() const;
