--- a/tests/platform/forward_helpers.h
+++ b/tests/platform/forward_helpers.h
@@ -4,11 +4,16 @@
 
 #include "platform/forward_router.h"
 
+#include <chrono>
 #include <memory>
 #include <vector>
 
 namespace mimosadale::tests {
 
+/// Time after a caller's departure from which the users' rule forbids work for
+/// it.
+constexpr auto DepartureTime = std::chrono::milliseconds(500);
+
 /// Adds two data centres with three engines each and two endpoints of the
 /// booking service, and writes the configuration.
 void addDefaultEndpoints(FakePlatform &Platform);
--- a/tests/process/forward_abandoned_test.cpp
+++ b/tests/process/forward_abandoned_test.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-// Time after a departure from which the users' rule forbids work for it.
-constexpr auto DepartureTime = 500ms;
-
 // More than the receive buffer of an endpoint, less than the send buffer of the
 // router: what the endpoint does not take waits in the router's kernel.
 constexpr std::size_t BodyBytes = 60000;
--- a/tests/process/forward_departure_test.cpp
+++ b/tests/process/forward_departure_test.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-// Time after a departure from which the users' rule forbids work for it.
-constexpr auto DepartureTime = 500ms;
-
 // Gap after which callers close a stream, by the users' protocol.
 constexpr auto CallerGapLimit = 2s;
 
