--- a/review/stand-in-2/deadly.cpp
+++ b/review/stand-in-2/deadly.cpp
@@ -5,6 +5,7 @@
 // deadly MODE FOLDER
 //   forget      all routers are killed at once after the part was blocked
 //   many-parts  the part is the 36th of 40 shared parts of the prompt
+//   late-crash  the worker writes three events before it crashes
 //   last-worker the worker crashes that makes the tokens, the last of the path
 // TROUBLE=0: the same without the kill, or with a part that is sound.
 #include "models.h"
@@ -23,6 +24,7 @@
   double m_RoundS = 0;     // between two rounds of requests with the part
   unsigned m_PerRound = 0; // at different machines, at a time
   unsigned m_Rounds = 0;
+  unsigned m_EventsBefore = 0; // written before a worker crashes
 };
 
 // Parts of a prompt: some that many requests share, the watched one, and the
@@ -66,6 +68,8 @@
     Kind = {false, true, Victim::First, 1.5, 2, 20};
   else if (Name == "last-worker")
     Kind = {false, false, Victim::Last, 1.5, 2, 20};
+  else if (Name == "late-crash")
+    Kind = {false, false, Victim::First, 1.5, 2, 20, 3};
   else
     return 2;
 
@@ -81,7 +85,7 @@
   // The part is deadly in all modes but where the disruption is the part.
   Workers.watch(DeadlyPart);
   if (Kind.m_Kill || Disturbed)
-    Workers.setDeadly(DeadlyPart, Kind.m_Victim);
+    Workers.setDeadly(DeadlyPart, Kind.m_Victim, Kind.m_EventsBefore);
   std::vector<std::unique_ptr<Router>> Fleet;
   for (unsigned I = 0; I < Routers; ++I) {
     static const char *Zones[] = {"fukuoka", "kumamoto", "kagoshima"};
@@ -97,7 +101,12 @@
   if (!waitUntil(40, [&] { return AllReady() && Workers.covered(); })) {
     record().line("the routers are not ready, or layers are missing: %s",
                   Workers.layersText().c_str());
-    return 2;
+    for (const auto &R : Fleet)
+      if (!R->ready())
+        record().line("%s: %s", R->name().c_str(), R->logEnd().c_str());
+    for (const auto &R : Fleet)
+      R->kill();
+    std::_Exit(2);
   }
   sleepS(3);
   record().line("all routers are ready, all layers are held");
@@ -159,7 +168,9 @@
         R->start();
       if (!waitUntil(5, AllReady)) {
         record().line("the routers are not ready again");
-        return 2;
+        for (const auto &R : Fleet)
+          R->kill();
+        std::_Exit(2);
       }
       record().line("all routers are ready again");
     }
--- a/review/stand-in-2/models.h
+++ b/review/stand-in-2/models.h
@@ -57,10 +57,12 @@
 
   // Requests with this part crash a worker: the one that the request was sent
   // to, or the one that writes the tokens, the last of its path.
-  void setDeadly(const std::string &Part, Victim Which) {
+  // \p Events are written before the worker crashes.
+  void setDeadly(const std::string &Part, Victim Which, unsigned Events = 0) {
     const std::lock_guard Lock(m_Mutex);
     m_Deadly = Part;
     m_Victim = Which;
+    m_EventsBefore = Events;
   }
   // Which part is watched, deadly or not.
   void watch(const std::string &Part) { m_Watched = Part; }
@@ -388,6 +390,7 @@
         std::stoul(Size.substr(Size.find(',') + 1)) / 2);
     sleepS(0.03);
     bool Begun = false;
+    unsigned Written = 0;
     for (; Next <= Events; ++Next) {
       const std::string Missing = awaitPath(Key, C);
       if (!W.m_Alive || closed(C))
@@ -399,7 +402,7 @@
         Fields.emplace_back("At-Server", Missing);
         return C.write(answerText(503, Fields, ""));
       }
-      if (Deadly) {
+      if (Deadly && Written == m_EventsBefore) {
         const std::lock_guard Lock(m_Mutex);
         const auto &Path = m_Streams[Key].m_Path;
         Worker *Hit =
@@ -426,6 +429,7 @@
       std::snprintf(Length, sizeof(Length), "%zx\r\n", Event.size());
       if (!C.write(Text + Length + Event + "\r\n"))
         return false;
+      ++Written;
       sleepS(0.02);
     }
     return C.write("0\r\n\r\n");
@@ -437,6 +441,7 @@
   std::map<std::string, Stream> m_Streams;
   std::string m_Deadly, m_Watched;
   Victim m_Victim = Victim::First;
+  unsigned m_EventsBefore = 0;
   std::vector<double> m_Crashes;
   std::vector<Arrival> m_Arrivals;
   unsigned m_Count = 0;
--- a/review/stand-in-2/rig.h
+++ b/review/stand-in-2/rig.h
@@ -499,12 +499,15 @@
 
 // ---------------------------------------------------------------- routers
 
-// A free port below those that the kernel gives to outgoing connections.
+// A free port below those that the kernel gives to outgoing connections, from a
+// range that differs between runs at the same time.
 inline unsigned short freePort() {
   static std::mt19937 Draw{std::random_device{}()};
+  static std::set<unsigned short> Given;
   while (true) {
     const auto Port = static_cast<unsigned short>(
-        std::uniform_int_distribution<int>(15000, 32000)(Draw));
+        15000 + ::getpid() % 16 * 1000 +
+        std::uniform_int_distribution<int>(0, 999)(Draw));
     const int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
@@ -513,7 +516,7 @@
     const bool Free = ::bind(Fd, reinterpret_cast<sockaddr *>(&Address),
                              sizeof(Address)) == 0;
     ::close(Fd);
-    if (Free)
+    if (Free && Given.insert(Port).second)
       return Port;
   }
 }
@@ -571,6 +574,12 @@
     return ::waitpid(m_Pid, Status, WNOHANG) == m_Pid;
   }
   void forget() { m_Pid = 0; }
+  // The end of its log, for a run that says nothing.
+  std::string logEnd() const {
+    std::ifstream In(m_Log);
+    const std::string Text{std::istreambuf_iterator<char>(In), {}};
+    return Text.substr(Text.size() > 600 ? Text.size() - 600 : 0);
+  }
   bool ready() const {
     return call(m_Readiness, "GET", "/v1/readiness", {}, "", 0.5).m_Status ==
            200;
--- a/review/stand-in-2/template.cpp
+++ b/review/stand-in-2/template.cpp
@@ -66,7 +66,12 @@
       })) {
     record().line("the routers are not ready, or layers are missing: %s",
                   Workers.layersText().c_str());
-    return 2;
+    for (const auto &R : Fleet)
+      if (!R->ready())
+        record().line("%s: %s", R->name().c_str(), R->logEnd().c_str());
+    for (const auto &R : Fleet)
+      R->kill();
+    std::_Exit(2);
   }
   sleepS(3);
   record().line("all routers are ready, all layers are held");
