--- a/review/stand-in-2/deadly.cpp
+++ b/review/stand-in-2/deadly.cpp
@@ -117,10 +117,10 @@
   for (unsigned K = 0; K < 6; ++K)
     Callers.emplace_back([&, K] {
       for (unsigned N = 0; !Stop; ++N) {
-        const StreamResult Got = askStream(
-            Fleet[(K + N) % Routers]->callers(),
-            "sound-" + std::to_string(K) + "-" + std::to_string(N),
-            promptOf(Kind, 100000 + 10000 * K + N, false), 30);
+        const StreamResult Got =
+            askStream(Fleet[(K + N) % Routers]->callers(),
+                      "sound-" + std::to_string(K) + "-" + std::to_string(N),
+                      promptOf(Kind, 100000 + 10000 * K + N, false), 30);
         ++Sent;
         if (Got.m_Complete)
           ++Whole;
@@ -149,8 +149,8 @@
         SentTo[Id] = To;
       }
       Deadly.emplace_back([&, Id, To, N = Number] {
-        const StreamResult Got = askStream(Fleet[To]->callers(), Id,
-                                           promptOf(Kind, N, true), 30);
+        const StreamResult Got =
+            askStream(Fleet[To]->callers(), Id, promptOf(Kind, N, true), 30);
         record().line("request %s with the part at %s: status %u, %s",
                       Id.c_str(), Fleet[To]->name().c_str(), Got.m_Status,
                       Got.m_Complete ? "complete" : "not complete");
--- a/review/stand-in-2/models.h
+++ b/review/stand-in-2/models.h
@@ -11,9 +11,9 @@
 namespace rig {
 
 constexpr unsigned ModelLayers = 12;
-constexpr double StallS = 2.0;       // `stall_ms` of the sheet
-constexpr double ExpiryS = 3.6;      // three heartbeats of 1,200 ms
-constexpr double StableWindowS = 3;  // `StableWindowMs` of the sheet
+constexpr double StallS = 2.0;      // `stall_ms` of the sheet
+constexpr double ExpiryS = 3.6;     // three heartbeats of 1,200 ms
+constexpr double StableWindowS = 3; // `StableWindowMs` of the sheet
 
 struct Hop {
   std::string m_Address;
@@ -30,10 +30,11 @@
     const std::size_t Equals = Part.find('=');
     const std::size_t Dash = Part.find('-', Equals);
     if (Equals != std::string::npos && Dash != std::string::npos)
-      Path.push_back({Part.substr(0, Equals),
-                      static_cast<unsigned>(std::stoul(
-                          Part.substr(Equals + 1, Dash - Equals - 1))),
-                      static_cast<unsigned>(std::stoul(Part.substr(Dash + 1)))});
+      Path.push_back(
+          {Part.substr(0, Equals),
+           static_cast<unsigned>(
+               std::stoul(Part.substr(Equals + 1, Dash - Equals - 1))),
+           static_cast<unsigned>(std::stoul(Part.substr(Dash + 1)))});
     At = End + 1;
   }
   return Path;
@@ -126,9 +127,8 @@
             {"loads_at_once", 6},
             {"report_lag_ms", 200.0},
             {"usual", json::object{{"prompt", 772}, {"answer", 40}}},
-            {"Models",
-             json::array{json::object{
-                 {"Name", "m0"}, {"pace", 1.0}, {"LoadS", 1.0}}}},
+            {"Models", json::array{json::object{
+                           {"Name", "m0"}, {"pace", 1.0}, {"LoadS", 1.0}}}},
             {"Kinds", json::array{json::object{{"Name", "t4"},
                                                {"SizeMb", 14400.0},
                                                {"pace", 1.0},
@@ -213,8 +213,8 @@
         R.header("X-Mimosadale-Expect-Instance") != W.m_Id)
       return C.write(answerText(421, Fields, ""));
     if (R.target() == "/v1/report")
-      return C.write(answerText(200, {{"Content-Type", "application/json"}},
-                                report(W)));
+      return C.write(
+          answerText(200, {{"Content-Type", "application/json"}}, report(W)));
     if (R.target() == "/v1/order")
       return order(W, R, C);
     return stream(W, R, C, Fields);
@@ -223,14 +223,13 @@
   std::string report(Worker &W) {
     const std::lock_guard Lock(m_Mutex);
     const unsigned Held = W.m_Target - W.m_From;
-    const double Total = (14400.0 - Held * 1750.0) * 1e6 /
-                         (590000.0 / ModelLayers);
+    const double Total =
+        (14400.0 - Held * 1750.0) * 1e6 / (590000.0 / ModelLayers);
     json::array Stalled;
     for (const auto &[Id, S] : m_Streams)
       if (S.m_First == &W && !S.m_StalledAt.empty())
-        Stalled.push_back(
-            json::object{{"Id", Id.substr(0, Id.find('@'))},
-                         {"Address", S.m_StalledAt}});
+        Stalled.push_back(json::object{{"Id", Id.substr(0, Id.find('@'))},
+                                       {"Address", S.m_StalledAt}});
     json::object Body{{"Stage", "hybrid"},
                       {"Busy", now() < W.m_BusyUntil},
                       {"Sequence", W.m_Sequence},
@@ -255,9 +254,10 @@
     json::object Body;
     std::unique_lock Lock(m_Mutex);
     if (Call.at("Operation").as_string() == "place") {
-      const auto Fence = Call.contains("FencingToken")
-                             ? Call.at("FencingToken").to_number<std::uint64_t>()
-                             : 0;
+      const auto Fence =
+          Call.contains("FencingToken")
+              ? Call.at("FencingToken").to_number<std::uint64_t>()
+              : 0;
       const auto From = Call.at("From").to_number<unsigned>();
       const auto Target = Call.at("Target").to_number<unsigned>();
       if (Fence < W.m_Fence) {
@@ -356,8 +356,8 @@
       const std::lock_guard Lock(m_Mutex);
       if (Has(m_Watched)) {
         m_Arrivals.push_back({now(), Id, W.m_Id});
-        record().line("request %s with the part reaches worker %s",
-                      Id.c_str(), W.m_Id.c_str());
+        record().line("request %s with the part reaches worker %s", Id.c_str(),
+                      W.m_Id.c_str());
       }
       Deadly = Has(m_Deadly);
       for (const Hop &Part : Path) {
@@ -386,8 +386,8 @@
     if (!R.header("Last-Event-Id").empty())
       Next = static_cast<unsigned>(std::stoul(R.header("Last-Event-Id"))) + 1;
     const std::string Size = R.header("X-Mimosadale-Token-Count");
-    const auto Events = static_cast<unsigned>(
-        std::stoul(Size.substr(Size.find(',') + 1)) / 2);
+    const auto Events =
+        static_cast<unsigned>(std::stoul(Size.substr(Size.find(',') + 1)) / 2);
     sleepS(0.03);
     bool Begun = false;
     unsigned Written = 0;
@@ -423,8 +423,8 @@
         Text += "\r\n";
         Begun = true;
       }
-      const std::string Event = "id: " + std::to_string(Next) +
-                                "\ndata: t" + std::to_string(Next) + "\n\n";
+      const std::string Event = "id: " + std::to_string(Next) + "\ndata: t" +
+                                std::to_string(Next) + "\n\n";
       char Length[16];
       std::snprintf(Length, sizeof(Length), "%zx\r\n", Event.size());
       if (!C.write(Text + Length + Event + "\r\n"))
@@ -482,38 +482,52 @@
 inline std::string configText(unsigned Version) {
   return json::serialize(json::object{
       {"Version", Version},
-      {"Routes",
-       json::array{
-           json::object{{"Name", "guide"},       {"Host", "a.example"},
-                        {"Prefix", "/guide/"},   {"RouteType", "streaming"},
-                        {"TimeoutMs", 20000},    {"TargetLatencyMs", 500},
-                        {"Priority", 1},         {"Service", "llm"},
-                        {"MaxAttempts", 2},      {"Public", false},
-                        {"StreamResume", true},  {"SessionAffinity", true},
-                        {"GapTargetMs", 200}},
-           json::object{{"Name", "book"},        {"Host", "a.example"},
-                        {"Prefix", "/book/"},    {"RouteType", "non_idempotent"},
-                        {"TimeoutMs", 2500},     {"TargetLatencyMs", 150},
-                        {"Priority", 2},         {"Service", "app"},
-                        {"MaxAttempts", 2},      {"Public", false}},
-           json::object{{"Name", "look"},        {"Host", "a.example"},
-                        {"Prefix", "/look/"},    {"RouteType", "idempotent"},
-                        {"TimeoutMs", 2500},     {"TargetLatencyMs", 150},
-                        {"Priority", 2},         {"Service", "app"},
-                        {"MaxAttempts", 2},      {"Public", false}}}},
-      {"Services",
-       json::array{json::object{{"Name", "llm"},
-                                {"HealthCheckPath", "/health"},
-                                {"MaxConnections", 968},
-                                {"Engine", Models::engine()}},
-                   json::object{{"Name", "app"},
-                                {"HealthCheckPath", "/health"},
-                                {"MaxConnections", 96}}}},
+      {"Routes", json::array{json::object{{"Name", "guide"},
+                                          {"Host", "a.example"},
+                                          {"Prefix", "/guide/"},
+                                          {"RouteType", "streaming"},
+                                          {"TimeoutMs", 20000},
+                                          {"TargetLatencyMs", 500},
+                                          {"Priority", 1},
+                                          {"Service", "llm"},
+                                          {"MaxAttempts", 2},
+                                          {"Public", false},
+                                          {"StreamResume", true},
+                                          {"SessionAffinity", true},
+                                          {"GapTargetMs", 200}},
+                             json::object{{"Name", "book"},
+                                          {"Host", "a.example"},
+                                          {"Prefix", "/book/"},
+                                          {"RouteType", "non_idempotent"},
+                                          {"TimeoutMs", 2500},
+                                          {"TargetLatencyMs", 150},
+                                          {"Priority", 2},
+                                          {"Service", "app"},
+                                          {"MaxAttempts", 2},
+                                          {"Public", false}},
+                             json::object{{"Name", "look"},
+                                          {"Host", "a.example"},
+                                          {"Prefix", "/look/"},
+                                          {"RouteType", "idempotent"},
+                                          {"TimeoutMs", 2500},
+                                          {"TargetLatencyMs", 150},
+                                          {"Priority", 2},
+                                          {"Service", "app"},
+                                          {"MaxAttempts", 2},
+                                          {"Public", false}}}},
+      {"Services", json::array{json::object{{"Name", "llm"},
+                                            {"HealthCheckPath", "/health"},
+                                            {"MaxConnections", 968},
+                                            {"Engine", Models::engine()}},
+                               json::object{{"Name", "app"},
+                                            {"HealthCheckPath", "/health"},
+                                            {"MaxConnections", 96}}}},
       {"Limits", json::object{{"MaxHeaderBytes", 16384},
                               {"MaxBodyBytes", 4194304},
                               {"HeaderTimeoutMs", 3000},
                               {"IdleTimeoutMs", 15000}}},
-      {"Tenants", json::array{
+      {"Tenants",
+       json::array{
            json::object{{"Name", "t1"}, {"ApiKeys", json::array{"key1"}}},
            json::object{{"Name", "t2"}, {"ApiKeys", json::array{"key2"}}}}}});
 }
--- a/review/stand-in-2/rig.h
+++ b/review/stand-in-2/rig.h
@@ -232,9 +232,7 @@
       }
     }).detach();
   }
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(m_Port);
-  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(m_Port); }
   unsigned short port() const { return m_Port; }
 
   // The process is gone: no connection stays, none is taken.
@@ -351,9 +349,9 @@
   for (std::size_t I = 0; I < Bytes.size(); I += 3) {
     unsigned Group = 0;
     for (std::size_t K = 0; K < 3; ++K)
-      Group = Group << 8 | (I + K < Bytes.size()
-                                ? static_cast<unsigned char>(Bytes[I + K])
-                                : 0u);
+      Group = Group << 8 |
+              (I + K < Bytes.size() ? static_cast<unsigned char>(Bytes[I + K])
+                                    : 0u);
     for (std::size_t K = 0; K < 4; ++K)
       Text += I + K > Bytes.size() ? '=' : Digits[Group >> (18 - 6 * K) & 63];
   }
@@ -362,9 +360,10 @@
 
 class Store {
 public:
-  Store() : m_Server([this](Message &Request, Wire &Conn) {
-    return handle(Request, Conn);
-  }) {}
+  Store()
+      : m_Server([this](Message &Request, Wire &Conn) {
+          return handle(Request, Conn);
+        }) {}
   std::string address() const { return m_Server.address(); }
 
   void put(const std::string &Table, const std::string &Key,
@@ -401,8 +400,8 @@
     std::size_t At = Target.find('?');
     while (At != std::string::npos) {
       const std::size_t End = Target.find('&', At + 1);
-      const std::string Pair = Target.substr(
-          At + 1, End == std::string::npos ? End : End - At - 1);
+      const std::string Pair =
+          Target.substr(At + 1, End == std::string::npos ? End : End - At - 1);
       if (Pair.rfind(Name + "=", 0) == 0)
         return Pair.substr(Name.size() + 1);
       At = End;
@@ -446,8 +445,9 @@
     } else if (Path == "/v1/rows-feed") {
       const std::string Table = parameter(Target, "Table");
       const auto After = std::stoull(parameter(Target, "After"));
-      const auto Until = Clock::now() + std::chrono::milliseconds(std::stoull(
-                                            parameter(Target, "WaitMs")));
+      const auto Until =
+          Clock::now() +
+          std::chrono::milliseconds(std::stoull(parameter(Target, "WaitMs")));
       const auto Newer = [&] {
         for (const auto &[Key, Entry] : m_Tables[Table])
           if (Entry.m_Version > After)
@@ -536,8 +536,8 @@
     };
     std::ofstream(m_Config)
         << "name = \"" << m_Name << "\"\ndata_centre = \"" << Zone
-        << "\"\ncallers = " << At(m_Callers) << "readiness = "
-        << At(m_Readiness) << "metrics = " << At(m_Metrics)
+        << "\"\ncallers = " << At(m_Callers)
+        << "readiness = " << At(m_Readiness) << "metrics = " << At(m_Metrics)
         << "peers = " << At(m_Peers)
         << "stop_within_seconds = 8\nengine_silence_ms = 2000\n"
            "memory_mb = 260\ncores = 0.25\n\n[store]\naddress = \""
