A request is blocked by all parts that explain the crashes, not by one

From then on all sound requests on the template were refused with 503, at all routers, as long as it was in use.

Cause: a crash was taken to accuse each part without an answer by itself, though it proves only that one of them is deadly. Two crashes, the two sends of one request, blocked the template with the deadly part, and a blocked part is never sent, so that no answer cleared it.

Change: decide/part_evidence. Parts that were at all crashes of another part explain these as well. A request is blocked if it holds a part with enough crashes, these others, and all that explain one of the crashes; one that lacks some is a suspect and goes alone. So the template is cleared by its first answer, and the deadly part is left. Nothing changes on the wire: the sets follow from the crashes that parts have in common.

--- a/packages/decide/crash_suspects.cpp
+++ b/packages/decide/crash_suspects.cpp
@@ -9,31 +9,22 @@
 
 namespace {
 
-// Crashes after which a part is blocked that no answer ever cleared. Each one
-// takes a chain out of service; a single one may have another cause.
-constexpr std::size_t CrashesToBlock = 2;
-
-// The same for a request itself: whatever had not begun on a crashed endpoint
-// is repeated, so that sound requests may share two crashes with a deadly one.
+// Separate crashes after which a request is blocked for itself, which no answer
+// ever cleared: whatever had not begun on a crashed endpoint is repeated, so
+// that sound requests may share two crashes with a deadly one.
 constexpr std::size_t CrashesToBlockRequest = 3;
 
 // Crashes from which a request is sent while no other suspect is, so that the
 // one that blocks it accuses nothing else.
 constexpr std::size_t CrashesToIsolate = 2;
 
-// The same as the first for a mark that an answer had cleared before: it was
-// sound, so that it takes more to tell it from others that were waiting beside
-// it.
+// The same as the first for a request that an answer had cleared before.
 constexpr std::size_t CrashesToBlockCleared = 5;
 
 // Time after a crash that may block a request for which it is not sent: within
 // it other routers tell which requests lay on the same endpoint.
 constexpr Duration SettlingTime = std::chrono::milliseconds(300);
 
-// Crashes within this time count as one: a rack or a power supply that fails
-// takes many endpoints at once.
-constexpr Duration CommonCauseWindow = std::chrono::milliseconds(150);
-
 // Time without requests after which a mark is forgotten, over all routers.
 constexpr Duration QuietTime = std::chrono::minutes(10);
 
@@ -73,31 +64,6 @@
 
 } // namespace
 
-// Crashes at different times; those of one cause count once. A request that was
-// sent after a crash reached an endpoint that this cause had spared.
-std::size_t CrashSuspects::countCrashes(const MarkRecord &Record) {
-  if (Record.m_Crashes.size() <= 1)
-    return Record.m_Crashes.size();
-  std::vector<const CrashRecord *> Crashes;
-  Crashes.reserve(Record.m_Crashes.size());
-  for (const auto &[Name, Crash] : Record.m_Crashes)
-    Crashes.push_back(&Crash);
-  std::sort(Crashes.begin(), Crashes.end(),
-            [](const CrashRecord *A, const CrashRecord *B) {
-              return A->m_At < B->m_At;
-            });
-  std::size_t Count = 0;
-  std::optional<Instant> Last;
-  for (const CrashRecord *Crash : Crashes) {
-    if (Last && Crash->m_SentAt <= *Last &&
-        Crash->m_At - *Last <= CommonCauseWindow)
-      continue;
-    ++Count;
-    Last = Crash->m_At;
-  }
-  return Count;
-}
-
 // Whether the crashes that speak against a request are its own. Sound requests
 // lie on the same endpoints by chance: a crash at which a request with more
 // crashes had not begun either speaks against that one, and of two with the
@@ -122,27 +88,36 @@
       Tied |= std::all_of(Record.m_Crashes.begin(), Record.m_Crashes.end(),
                           HasCrash(Rival));
   }
-  return countCrashes(Own) >= Needed + (Tied ? 1 : 0);
+  return countSeparate(Own.m_Crashes) >= Needed + (Tied ? 1 : 0);
 }
 
-bool CrashSuspects::isBlocked(const RequestMark &Mark,
-                              const MarkRecord &Record) const {
-  std::size_t Needed =
-      Mark.m_Kind == MarkKind::Request ? CrashesToBlockRequest : CrashesToBlock;
-  if (Record.m_ClearedAt)
-    Needed = CrashesToBlockCleared;
-  if (Record.m_Crashes.size() < Needed || countCrashes(Record) < Needed)
-    return false;
-  return Mark.m_Kind == MarkKind::PromptPart ||
+bool CrashSuspects::isBlockedRequest(const RequestMark &Mark,
+                                     const MarkRecord &Record) const {
+  const std::size_t Needed =
+      Record.m_ClearedAt ? CrashesToBlockCleared : CrashesToBlockRequest;
+  return Record.m_Crashes.size() >= Needed &&
+         countSeparate(Record.m_Crashes) >= Needed &&
          hasOwnCrashes(Mark, Record, Needed);
 }
 
+const PartEvidence &CrashSuspects::partEvidence() const {
+  if (m_PartEvidence)
+    return *m_PartEvidence;
+  std::vector<AccusedPart> Accused;
+  for (const auto &[Mark, Record] : m_Records)
+    if (Mark.m_Kind == MarkKind::PromptPart && !Record.m_Crashes.empty())
+      Accused.push_back(
+          {Mark.m_Id, &Record.m_Crashes, Record.m_ClearedAt.has_value()});
+  return m_PartEvidence.emplace(Accused);
+}
+
 // Whether a request seems to be blocked by its last crash, but other routers
 // may not have told yet which requests lay on the same endpoint.
 bool CrashSuspects::isSettling(const RequestMark &Mark,
                                const MarkRecord &Record, Instant Now) const {
   return Mark.m_Kind == MarkKind::Request &&
-         Now - Record.m_ChangedAt < SettlingTime && isBlocked(Mark, Record);
+         Now - Record.m_ChangedAt < SettlingTime &&
+         isBlockedRequest(Mark, Record);
 }
 
 // A mark that was cleared before is not held back by a few crashes.
@@ -151,31 +126,40 @@
 }
 
 bool CrashSuspects::isSuspect(const MarkRecord &Record, MarkKind Kind) {
-  return isAccused(Record) && (Kind == MarkKind::PromptPart ||
-                               countCrashes(Record) >= CrashesToIsolate);
+  return isAccused(Record) &&
+         (Kind == MarkKind::PromptPart ||
+          countSeparate(Record.m_Crashes) >= CrashesToIsolate);
 }
 
 MarkVerdict CrashSuspects::judge(const RequestMarks &Marks, Instant Now) {
-  MarkVerdict Verdict = MarkVerdict::Sound;
+  bool Blocked = false;
+  bool Suspect = false;
+  bool Repeated = false; // only then can its parts be deadly
   for (const RequestMark &Mark : Marks) {
     const auto Found = m_Records.find(Mark);
     if (Found == m_Records.end())
       continue;
-    Found->second.m_SeenAt = std::max(Found->second.m_SeenAt, Now);
-    const bool Settling = isSettling(Mark, Found->second, Now);
-    if (!Settling && isBlocked(Mark, Found->second))
-      return MarkVerdict::Deadly;
-    if (Settling || isSuspect(Found->second, Mark.m_Kind))
-      Verdict = MarkVerdict::Suspect;
+    MarkRecord &Record = Found->second;
+    Record.m_SeenAt = std::max(Record.m_SeenAt, Now);
+    const bool Settling = isSettling(Mark, Record, Now);
+    Blocked |= !Settling && Mark.m_Kind == MarkKind::Request &&
+               isBlockedRequest(Mark, Record);
+    Suspect |= Settling || isSuspect(Record, Mark.m_Kind);
+    Repeated |= isRepeated(Record);
   }
-  return Verdict;
+  if (Blocked || (Repeated && partEvidence().findDeadly(Marks)))
+    return MarkVerdict::Deadly;
+  return Suspect ? MarkVerdict::Suspect : MarkVerdict::Sound;
 }
 
 std::optional<RequestMark>
 CrashSuspects::blockedMark(const RequestMarks &Marks) const {
+  if (auto Part = partEvidence().findDeadly(Marks))
+    return Part;
   for (const RequestMark &Mark : Marks)
     if (const auto Found = m_Records.find(Mark);
-        Found != m_Records.end() && isBlocked(Mark, Found->second))
+        Found != m_Records.end() && Mark.m_Kind == MarkKind::Request &&
+        isBlockedRequest(Mark, Found->second))
       return Mark;
   return std::nullopt;
 }
@@ -225,29 +209,50 @@
   if (Found == m_Records.end() || Found->second.m_Crashes.empty())
     return {};
   const MarkRecord &Record = Found->second;
-  if (isBlocked(Mark, Record))
-    return {MarkVerdict::Deadly, 0};
+  if (Mark.m_Kind == MarkKind::Request && isBlockedRequest(Mark, Record))
+    return {MarkVerdict::Deadly, 0, 1};
+  if (Mark.m_Kind == MarkKind::PromptPart && isRepeated(Record) &&
+      partEvidence().isDeadly(Mark.m_Id))
+    return {MarkVerdict::Deadly, 0, partEvidence().deadlyTogether(Mark.m_Id)};
   if (isAccused(Record))
-    return {MarkVerdict::Suspect, countCrashes(Record)};
+    return {MarkVerdict::Suspect, countSeparate(Record.m_Crashes), 1};
   return {};
 }
 
-void CrashSuspects::addChange(const RequestMark &Mark, const MarkState &Before,
-                              std::vector<ChangedMark> &Changes) const {
-  const MarkState State = stateOf(Mark);
-  if (State == Before)
-    return;
-  MarkChange Change = MarkChange::Cleared;
-  if (State.m_Verdict == MarkVerdict::Deadly)
-    Change = MarkChange::Blocked;
-  else if (State.m_Verdict == MarkVerdict::Suspect)
-    Change = MarkChange::Suspected;
-  Changes.push_back({Mark, Change, countCrashes(m_Records.at(Mark))});
+std::vector<CrashSuspects::MarkState>
+CrashSuspects::statesOf(const RequestMarks &Marks) const {
+  std::vector<MarkState> States;
+  States.reserve(Marks.size());
+  for (const RequestMark &Mark : Marks)
+    States.push_back(stateOf(Mark));
+  return States;
+}
+
+// The marks of which something else is believed than \p Before.
+std::vector<ChangedMark>
+CrashSuspects::changesSince(const RequestMarks &Marks,
+                            const std::vector<MarkState> &Before) const {
+  std::vector<ChangedMark> Changes;
+  for (std::size_t I = 0; I < Marks.size(); ++I) {
+    const MarkState State = stateOf(Marks[I]);
+    if (State == Before[I])
+      continue;
+    MarkChange Change = MarkChange::Cleared;
+    if (State.m_Verdict == MarkVerdict::Deadly)
+      Change = MarkChange::Blocked;
+    else if (State.m_Verdict == MarkVerdict::Suspect)
+      Change = MarkChange::Suspected;
+    Changes.push_back({Marks[I], Change,
+                       countSeparate(m_Records.at(Marks[I]).m_Crashes),
+                       State.m_Together});
+  }
+  return Changes;
 }
 
 void CrashSuspects::disprove(MarkRecord &Record, const std::string &Name,
                              const CrashRecord &Crash, Instant Now) {
-  Record.m_Crashes.erase(Name);
+  if (Record.m_Crashes.erase(Name) > 0)
+    m_PartEvidence.reset();
   if (Record.m_Disproved.try_emplace(Name, Crash).second)
     onChanged(Record, Now);
   if (Record.m_Disproved.size() > MaxCrashesTold)
@@ -262,11 +267,13 @@
 void CrashSuspects::onAnswer(MarkRecord &Record, Instant AnsweredAt,
                              Instant Now) {
   if (!Record.m_Crashes.empty()) {
-    const Crashes Accusing = Record.m_Crashes;
+    const CrashesByName Accusing = Record.m_Crashes;
     for (const auto &[Name, Crash] : Accusing)
       if (Crash.m_At <= AnsweredAt)
         disprove(Record, Name, Crash, Now);
   }
+  if (!Record.m_ClearedAt && !Record.m_Crashes.empty())
+    m_PartEvidence.reset();
   Record.m_ClearedAt =
       std::max(Record.m_ClearedAt.value_or(AnsweredAt), AnsweredAt);
 }
@@ -276,40 +283,37 @@
   MarkRecord &Record = m_Records[Mark];
   if (Record.m_Disproved.contains(Name))
     return;
-  if (Record.m_Crashes.try_emplace(Name, Crash).second)
+  if (Record.m_Crashes.try_emplace(Name, Crash).second) {
     onChanged(Record, Now);
+    m_PartEvidence.reset();
+  }
   if (const auto Cleared = m_Cleared.find(Mark); Cleared != m_Cleared.end())
     onAnswer(Record, Cleared->second, Now);
 }
 
 std::vector<ChangedMark> CrashSuspects::onAnswerBegun(const RequestMarks &Marks,
                                                       Instant Now) {
-  std::vector<ChangedMark> Changes;
+  const std::vector<MarkState> Before = statesOf(Marks);
   for (const RequestMark &Mark : Marks) {
     rememberCleared(Mark, Now);
-    const auto Found = m_Records.find(Mark);
-    if (Found == m_Records.end())
-      continue;
-    const MarkState Before = stateOf(Mark);
-    onAnswer(Found->second, Now, Now);
-    addChange(Mark, Before, Changes);
+    if (const auto Found = m_Records.find(Mark); Found != m_Records.end())
+      onAnswer(Found->second, Now, Now);
   }
-  return Changes;
+  return changesSince(Marks, Before);
 }
 
 std::vector<ChangedMark> CrashSuspects::onCrash(const RequestMarks &Marks,
                                                 const EndpointCrash &Crash,
                                                 Instant Now) {
-  std::vector<ChangedMark> Changes;
+  const std::vector<MarkState> Before = statesOf(Marks);
   const std::string Name =
       Crash.m_Endpoint.str() + "@" + std::to_string(Crash.m_StartedMs);
   for (const RequestMark &Mark : Marks) {
-    const MarkState Before = stateOf(Mark);
     accuse(Mark, Name, {Crash.m_SentAt, Crash.m_CrashedAt}, Now);
     Instant &SeenAt = m_Records.at(Mark).m_SeenAt;
     SeenAt = std::max(SeenAt, Now);
-    addChange(Mark, Before, Changes);
   }
+  std::vector<ChangedMark> Changes = changesSince(Marks, Before);
   evict();
   return Changes;
 }
@@ -362,7 +366,7 @@
       Told.set_cleared(true);
       Told.set_cleared_age_ms(ageMs(*Record.m_ClearedAt, Now));
     }
-    const auto AddCrashes = [&](const Crashes &Listed, bool Disproved) {
+    const auto AddCrashes = [&](const CrashesByName &Listed, bool Disproved) {
       std::size_t Count = 0;
       for (const auto &[Name, Crash] : Listed) {
         if (++Count > MaxCrashesTold)
@@ -381,10 +385,12 @@
 
 std::vector<ChangedMark> CrashSuspects::merge(const schema::LimitNotice &Notice,
                                               Instant Now) {
-  std::vector<ChangedMark> Changes;
+  RequestMarks Marks;
+  for (const schema::CrashMark &Told : Notice.marks())
+    Marks.push_back(decodeMark(Told));
+  const std::vector<MarkState> Before = statesOf(Marks);
   for (const schema::CrashMark &Told : Notice.marks()) {
     const RequestMark Mark = decodeMark(Told);
-    const MarkState Before = stateOf(Mark);
     MarkRecord &Record = m_Records[Mark];
     for (const schema::EndpointCrash &Statement : Told.crashes()) {
       const CrashRecord Crash{before(Now, Statement.sent_age_ms()),
@@ -398,41 +404,51 @@
       onAnswer(Record, before(Now, Told.cleared_age_ms()), Now);
     Record.m_SeenAt =
         std::max(Record.m_SeenAt, before(Now, Told.seen_age_ms()));
-    addChange(Mark, Before, Changes);
   }
+  std::vector<ChangedMark> Changes = changesSince(Marks, Before);
   evict();
   return Changes;
 }
 
 // Drops the marks that least speaks against if there are too many, and of those
-// the ones that changed first.
+// the ones that changed first; an eighth at once, so that this is rare.
 void CrashSuspects::evict() {
-  while (m_Records.size() > MaxRecords) {
-    const auto Weight = [this](const auto &Item) {
-      return std::tuple(isBlocked(Item.first, Item.second),
-                        isRepeated(Item.second), Item.second.m_ChangedAt);
-    };
-    m_Records.erase(std::min_element(
-        m_Records.begin(), m_Records.end(),
-        [&](const auto &A, const auto &B) { return Weight(A) < Weight(B); }));
-  }
+  if (m_Records.size() <= MaxRecords)
+    return;
+  std::vector<std::tuple<bool, bool, Instant, RequestMark>> Ranked;
+  Ranked.reserve(m_Records.size());
+  for (const auto &[Mark, Record] : m_Records)
+    Ranked.emplace_back(stateOf(Mark).m_Verdict == MarkVerdict::Deadly,
+                        isRepeated(Record), Record.m_ChangedAt, Mark);
+  const std::size_t Surplus = Ranked.size() - MaxRecords * 7 / 8;
+  std::nth_element(Ranked.begin(),
+                   Ranked.begin() + static_cast<std::ptrdiff_t>(Surplus),
+                   Ranked.end());
+  for (std::size_t I = 0; I < Surplus; ++I)
+    m_Records.erase(std::get<RequestMark>(Ranked[I]));
+  m_PartEvidence.reset();
 }
 
 void CrashSuspects::onTick(Instant Now) {
-  std::erase_if(m_Records, [&](const auto &Item) {
+  const std::size_t Dropped = std::erase_if(m_Records, [&](const auto &Item) {
     const MarkRecord &Record = Item.second;
     if (Record.m_Crashes.empty())
       return Now - Record.m_ChangedAt > DisprovedRetention;
     return Now - std::max(Record.m_SeenAt, Record.m_ChangedAt) > QuietTime;
   });
+  if (Dropped > 0)
+    m_PartEvidence.reset();
 }
 
 Duration CrashSuspects::quietTime() { return QuietTime; }
 
 std::size_t CrashSuspects::blocked(MarkKind Kind) const {
+  if (Kind == MarkKind::PromptPart)
+    return partEvidence().deadlyParts();
   return static_cast<std::size_t>(std::count_if(
-      m_Records.begin(), m_Records.end(), [&, this](const auto &Item) {
-        return Item.first.m_Kind == Kind && isBlocked(Item.first, Item.second);
+      m_Records.begin(), m_Records.end(), [this](const auto &Item) {
+        return Item.first.m_Kind == MarkKind::Request &&
+               isBlockedRequest(Item.first, Item.second);
       }));
 }
 
--- a/packages/decide/crash_suspects.h
+++ b/packages/decide/crash_suspects.h
@@ -4,6 +4,8 @@
 
 #include "base/id.h"
 #include "base/units.h"
+#include "decide/crash_record.h"
+#include "decide/part_evidence.h"
 #include "decide/request_mark.h"
 #include "schema/generated/limits.pb.h"
 
@@ -32,6 +34,9 @@
   RequestMark m_Mark;
   MarkChange m_Change = MarkChange::Suspected;
   std::size_t m_Crashes = 0; // that speak against it
+  // Parts of which one is deadly, this one included, if it is blocked: only a
+  // request with all of them is.
+  std::size_t m_Together = 1;
 };
 
 /// The crash of an endpoint while a request had not begun there.
@@ -49,9 +54,10 @@
 /// answer that goes on. So the crash of an endpoint speaks against those marks
 /// of the requests that had not begun there, until a later answer disproves
 /// that. What is left after crashes of different endpoints at different times
-/// is blocked: a prompt part after few, a request itself after more. Routers
-/// tell each other which crashes speak against which marks, and which of these
-/// are disproved: each sees a few of the crashes at most.
+/// is blocked: prompt parts after few, as far as a request has all of those
+/// that explain the crashes (`PartEvidence`), a request itself after more.
+/// Routers tell each other which crashes speak against which marks, and which
+/// of these are disproved: each sees a few of the crashes at most.
 ///
 /// A blocked mark is forgotten once no router was sent a request with it for a
 /// long time.
@@ -60,10 +66,12 @@
 /// None.
 class CrashSuspects {
 public:
-  /// A request with \p Marks arrived or is about to be sent.
+  /// A request with \p Marks arrived or is about to be sent. \pre No mark is
+  /// listed twice, here and below.
   MarkVerdict judge(const RequestMarks &Marks, Instant Now);
 
-  /// The first of \p Marks that is blocked, if any.
+  /// The mark, of \p Marks, for which a request with all of them is blocked, if
+  /// any.
   std::optional<RequestMark> blockedMark(const RequestMarks &Marks) const;
 
   /// Takes the turn of a suspect request, which is sent while no other request
@@ -106,17 +114,11 @@
   static Duration quietTime();
 
 private:
-  struct CrashRecord {
-    Instant m_SentAt{};
-    Instant m_At{};
-  };
-  using Crashes = std::map<std::string, CrashRecord>; // by endpoint and start
-
   struct MarkRecord {
     // Crashes that speak against it, and those that a later answer disproved:
     // told of again, they stay so.
-    Crashes m_Crashes;
-    Crashes m_Disproved;
+    CrashesByName m_Crashes;
+    CrashesByName m_Disproved;
     std::optional<Instant> m_ClearedAt; // by the last answer known
     Instant m_SeenAt{};               // the last request with it, at any router
     Instant m_ChangedAt{};            // of crashes or clearing
@@ -127,16 +129,18 @@
   struct MarkState {
     MarkVerdict m_Verdict = MarkVerdict::Sound;
     std::size_t m_Crashes = 0;
+    std::size_t m_Together = 1;
     auto operator<=>(const MarkState &) const = default;
   };
 
-  static std::size_t countCrashes(const MarkRecord &Record);
   static bool isAccused(const MarkRecord &Record);
   bool hasOwnCrashes(const RequestMark &Mark, const MarkRecord &Record,
                      std::size_t Needed) const;
   bool isSettling(const RequestMark &Mark, const MarkRecord &Record,
                   Instant Now) const;
-  bool isBlocked(const RequestMark &Mark, const MarkRecord &Record) const;
+  bool isBlockedRequest(const RequestMark &Mark,
+                        const MarkRecord &Record) const;
+  const PartEvidence &partEvidence() const;
   static bool isSuspect(const MarkRecord &Record, MarkKind Kind);
   static bool isRepeated(const MarkRecord &Record);
   void onChanged(MarkRecord &Record, Instant Now);
@@ -146,14 +150,18 @@
   void accuse(const RequestMark &Mark, const std::string &Name,
               const CrashRecord &Crash, Instant Now);
   MarkState stateOf(const RequestMark &Mark) const;
-  void addChange(const RequestMark &Mark, const MarkState &Before,
-                 std::vector<ChangedMark> &Changes) const;
+  std::vector<MarkState> statesOf(const RequestMarks &Marks) const;
+  std::vector<ChangedMark>
+  changesSince(const RequestMarks &Marks,
+               const std::vector<MarkState> &Before) const;
   void rememberCleared(const RequestMark &Mark, Instant At);
   void evict();
 
   std::map<RequestMark, MarkRecord> m_Records; // suspected, or cleared lately
   // Marks of answers that began, with the time of the last one.
   std::map<RequestMark, Instant> m_Cleared;
+  // What the records of parts prove; made anew when they have changed.
+  mutable std::optional<PartEvidence> m_PartEvidence;
   std::weak_ptr<const void> m_RequestTurn; // of the suspected request sent
   std::optional<Instant> m_ChangedAt;      // the last change of any record
   Instant m_ToldAt{};
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -195,6 +195,7 @@
                      {{IsRequest ? "mark" : "part", Changed.m_Mark.m_Id},
                       {"state", State},
                       {"crashes", std::to_string(Changed.m_Crashes)},
+                      {"together", std::to_string(Changed.m_Together)},
                       {"source", Source}});
   }
   m_Metrics.setGauge(
--- a/tests/process/forward_crash_test.cpp
+++ b/tests/process/forward_crash_test.cpp
@@ -81,3 +81,42 @@
   }
   CHECK(Platform.crashedEngines().size() == Crashed);
 }
+
+// Guards against sound requests on a new template being refused for good since
+// the first request with it also held a deadly part (review case 6).
+TEST_CASE("the first request on a new template crashes engines: sound requests "
+          "on it are served by all routers, and the deadly part is refused") {
+  FakePlatform Platform;
+  addDefaultEndpoints(Platform);
+  Platform.setEngineMemory(100000);
+  Platform.restartCrashed(500ms);
+  ForwardRouter R1(Platform, "r1");
+  ForwardRouter R2(Platform, "r2");
+  for (ForwardRouter *Router : {&R1, &R2}) {
+    waitUntilServing(*Router);
+    REQUIRE(harness::waitUntil([&] { return knownRouterCount(*Router) == 2; }));
+  }
+  Platform.crashOnPart("deadly");
+  const auto Status = [](const ForwardRouter &Router, const std::string &Id,
+                         const std::string &Shared) {
+    harness::EventStream Stream(Router.callerAddress(), "/guide/x",
+                                promptHeaders(Id, Shared + "," + Id + ":9"),
+                                Id);
+    while (Stream.next())
+      continue;
+    return Stream.status();
+  };
+  Status(R1, "first", "new:40,deadly:300");
+  REQUIRE(Platform.crashedEngines().size() == 2);
+  for (const ForwardRouter *Router : {&R1, &R2}) {
+    CAPTURE(Router->log());
+    CHECK(harness::waitUntil(
+        [&] { return Status(*Router, "sound", "new:40") == 200; }, 15s));
+  }
+  const std::size_t Crashed = Platform.crashedEngines().size();
+  for (const ForwardRouter *Router : {&R1, &R2}) {
+    CHECK(Status(*Router, "again", "new:40,deadly:300") == 503);
+    CHECK(Status(*Router, "other", "old:40,deadly:300") == 503);
+  }
+  CHECK(Platform.crashedEngines().size() == Crashed);
+}
