What is blocked outlasts all routers, in a row of the store

Cause: blocks lay in the memory of routers only and ended with the last one.

What is blocked, with the crashes that it rests on, stands in one row of a table of its own. The router that saw a change writes it at once under the row's version; others compare it later. A router asks for it before it is ready, at most 0.5 s. Ages are on the store's clock. After a change of the store's era living routers write what the copy lacks; a block that has ended by its age comes back from no copy.

Before, being told of it counted as a change, so that a router which started later kept it longer and taught it to the others anew ("a router that started later", fails without it).

--- a/packages/decide/crash_suspects.cpp
+++ b/packages/decide/crash_suspects.cpp
@@ -41,6 +41,13 @@
 constexpr std::size_t MaxRecords = 1024;
 constexpr std::size_t MaxCleared = 16384;
 
+// A mark that was not seen for all but this part of the quiet time is not
+// learned anew: routers that forget it at different times would keep it alive.
+constexpr Duration EndMargin = std::chrono::seconds(5);
+
+// Limit of the row in the store, below what it accepts.
+constexpr std::size_t MaxRowBytes = 32768;
+
 // Limits of a notice, far below the largest that is accepted.
 constexpr std::size_t MaxMarksTold = 64;
 constexpr std::size_t MaxCrashesTold = 8;
@@ -242,9 +249,9 @@
       Change = MarkChange::Blocked;
     else if (State.m_Verdict == MarkVerdict::Suspect)
       Change = MarkChange::Suspected;
-    Changes.push_back({Marks[I], Change,
-                       countSeparate(m_Records.at(Marks[I]).m_Crashes),
-                       State.m_Together});
+    Changes.push_back(
+        {Marks[I], Change, countSeparate(m_Records.at(Marks[I]).m_Crashes),
+         State.m_Together, Before[I].m_Verdict == MarkVerdict::Deadly});
   }
   return Changes;
 }
@@ -355,42 +362,82 @@
       Ranked.emplace_back(isRepeated(Record), Record.m_ChangedAt, Mark);
   std::sort(Ranked.rbegin(), Ranked.rend());
   Ranked.resize(std::min(Ranked.size(), MaxMarksTold));
-  for (const auto &[Repeated, ChangedAt, Mark] : Ranked) {
-    const MarkRecord &Record = m_Records.at(Mark);
-    schema::CrashMark &Told = *Notice.add_marks();
-    Told.set_id(Mark.m_Id);
-    Told.set_kind(Mark.m_Kind == MarkKind::Request ? schema::REQUEST
-                                                   : schema::PROMPT_PART);
-    Told.set_seen_age_ms(ageMs(Record.m_SeenAt, Now));
-    if (Record.m_ClearedAt) {
-      Told.set_cleared(true);
-      Told.set_cleared_age_ms(ageMs(*Record.m_ClearedAt, Now));
+  for (const auto &[Repeated, ChangedAt, Mark] : Ranked)
+    encode(Mark, m_Records.at(Mark), Now, *Notice.add_marks());
+}
+
+void CrashSuspects::encode(const RequestMark &Mark, const MarkRecord &Record,
+                           Instant Now, schema::CrashMark &Told) {
+  Told.set_id(Mark.m_Id);
+  Told.set_kind(Mark.m_Kind == MarkKind::Request ? schema::REQUEST
+                                                 : schema::PROMPT_PART);
+  Told.set_seen_age_ms(ageMs(Record.m_SeenAt, Now));
+  if (Record.m_ClearedAt) {
+    Told.set_cleared(true);
+    Told.set_cleared_age_ms(ageMs(*Record.m_ClearedAt, Now));
+  }
+  const auto AddCrashes = [&](const CrashesByName &Listed, bool Disproved) {
+    std::size_t Count = 0;
+    for (const auto &[Name, Crash] : Listed) {
+      if (++Count > MaxCrashesTold)
+        break;
+      schema::EndpointCrash &Statement = *Told.add_crashes();
+      Statement.set_endpoint_start(Name);
+      Statement.set_age_ms(ageMs(Crash.m_At, Now));
+      Statement.set_sent_age_ms(ageMs(Crash.m_SentAt, Now));
+      Statement.set_disproved(Disproved);
     }
-    const auto AddCrashes = [&](const CrashesByName &Listed, bool Disproved) {
-      std::size_t Count = 0;
-      for (const auto &[Name, Crash] : Listed) {
-        if (++Count > MaxCrashesTold)
-          break;
-        schema::EndpointCrash &Statement = *Told.add_crashes();
-        Statement.set_endpoint_start(Name);
-        Statement.set_age_ms(ageMs(Crash.m_At, Now));
-        Statement.set_sent_age_ms(ageMs(Crash.m_SentAt, Now));
-        Statement.set_disproved(Disproved);
-      }
-    };
-    AddCrashes(Record.m_Crashes, false);
-    AddCrashes(Record.m_Disproved, true);
+  };
+  AddCrashes(Record.m_Crashes, false);
+  AddCrashes(Record.m_Disproved, true);
+}
+
+// A row that is full lacks some parts of which one is deadly, so that more
+// requests are refused.
+void CrashSuspects::addBlockedTo(schema::BlockedMarks &Row, Instant Now) const {
+  RequestMarks Marks;
+  for (std::string &Part : partEvidence().partsThatBlock())
+    Marks.push_back({MarkKind::PromptPart, std::move(Part)});
+  for (const auto &[Mark, Record] : m_Records)
+    if (Mark.m_Kind == MarkKind::Request && isBlockedRequest(Mark, Record))
+      Marks.push_back(Mark);
+  std::size_t Bytes = 0;
+  for (const RequestMark &Mark : Marks) {
+    schema::CrashMark Told;
+    encode(Mark, m_Records.at(Mark), Now, Told);
+    Bytes += Told.ByteSizeLong();
+    if (Bytes > MaxRowBytes)
+      return;
+    Row.add_marks()->Swap(&Told);
   }
 }
 
 std::vector<ChangedMark> CrashSuspects::merge(const schema::LimitNotice &Notice,
                                               Instant Now) {
+  return mergeMarks(Notice.marks(), Now);
+}
+
+std::vector<ChangedMark> CrashSuspects::merge(const schema::BlockedMarks &Row,
+                                              Instant Now) {
+  return mergeMarks(Row.marks(), Now);
+}
+
+std::vector<ChangedMark> CrashSuspects::mergeMarks(const ToldMarks &Statements,
+                                                   Instant Now) {
   RequestMarks Marks;
-  for (const schema::CrashMark &Told : Notice.marks())
-    Marks.push_back(decodeMark(Told));
-  const std::vector<MarkState> Before = statesOf(Marks);
-  for (const schema::CrashMark &Told : Notice.marks()) {
+  std::vector<const schema::CrashMark *> Accepted;
+  for (const schema::CrashMark &Told : Statements) {
     const RequestMark Mark = decodeMark(Told);
+    if (!m_Records.contains(Mark) &&
+        Now - before(Now, Told.seen_age_ms()) >= QuietTime - EndMargin)
+      continue;
+    Marks.push_back(Mark);
+    Accepted.push_back(&Told);
+  }
+  const std::vector<MarkState> Before = statesOf(Marks);
+  for (std::size_t I = 0; I < Marks.size(); ++I) {
+    const RequestMark &Mark = Marks[I];
+    const schema::CrashMark &Told = *Accepted[I];
     MarkRecord &Record = m_Records[Mark];
     for (const schema::EndpointCrash &Statement : Told.crashes()) {
       const CrashRecord Crash{before(Now, Statement.sent_age_ms()),
@@ -434,7 +481,7 @@
     const MarkRecord &Record = Item.second;
     if (Record.m_Crashes.empty())
       return Now - Record.m_ChangedAt > DisprovedRetention;
-    return Now - std::max(Record.m_SeenAt, Record.m_ChangedAt) > QuietTime;
+    return Now - Record.m_SeenAt > QuietTime;
   });
   if (Dropped > 0)
     m_PartEvidence.reset();
@@ -442,6 +489,10 @@
 
 Duration CrashSuspects::quietTime() { return QuietTime; }
 
+bool CrashSuspects::blocksAny() const {
+  return blocked(MarkKind::PromptPart) > 0 || blocked(MarkKind::Request) > 0;
+}
+
 std::size_t CrashSuspects::blocked(MarkKind Kind) const {
   if (Kind == MarkKind::PromptPart)
     return partEvidence().deadlyParts();
--- a/packages/decide/crash_suspects.h
+++ b/packages/decide/crash_suspects.h
@@ -37,6 +37,7 @@
   // Parts of which one is deadly, this one included, if it is blocked: only a
   // request with all of them is.
   std::size_t m_Together = 1;
+  bool m_WasBlocked = false;
 };
 
 /// The crash of an endpoint while a request had not begun there.
@@ -104,11 +105,19 @@
   std::vector<ChangedMark> merge(const schema::LimitNotice &Notice,
                                  Instant Now);
 
+  /// Merges what a row of the store says. \pre Its ages are of now.
+  std::vector<ChangedMark> merge(const schema::BlockedMarks &Row, Instant Now);
+
+  /// Adds the marks that block requests to \p Row, which is to outlast all
+  /// routers.
+  void addBlockedTo(schema::BlockedMarks &Row, Instant Now) const;
+
   /// Forgets what is old.
   void onTick(Instant Now);
 
   /// Number of blocked marks of one kind.
   std::size_t blocked(MarkKind Kind) const;
+  bool blocksAny() const;
 
   /// Time without requests after which a blocked mark is forgotten.
   static Duration quietTime();
@@ -150,10 +159,14 @@
   void accuse(const RequestMark &Mark, const std::string &Name,
               const CrashRecord &Crash, Instant Now);
   MarkState stateOf(const RequestMark &Mark) const;
+  static void encode(const RequestMark &Mark, const MarkRecord &Record,
+                     Instant Now, schema::CrashMark &Told);
   std::vector<MarkState> statesOf(const RequestMarks &Marks) const;
   std::vector<ChangedMark>
   changesSince(const RequestMarks &Marks,
                const std::vector<MarkState> &Before) const;
+  using ToldMarks = google::protobuf::RepeatedPtrField<schema::CrashMark>;
+  std::vector<ChangedMark> mergeMarks(const ToldMarks &Told, Instant Now);
   void rememberCleared(const RequestMark &Mark, Instant At);
   void evict();
 
--- a/packages/decide/part_evidence.cpp
+++ b/packages/decide/part_evidence.cpp
@@ -141,4 +141,16 @@
   return Count;
 }
 
+std::vector<std::string> PartEvidence::partsThatBlock() const {
+  std::vector<bool> Blocks(m_Groups.size());
+  for (const Group &Of : m_Groups)
+    for (const std::size_t Rival : Of.m_Rivals)
+      Blocks[Rival] = Blocks[Rival] || Of.m_Deadly;
+  std::vector<std::string> Parts;
+  for (const auto &[Part, Index] : m_GroupOf)
+    if (Blocks[Index])
+      Parts.push_back(Part);
+  return Parts;
+}
+
 } // namespace mimosadale::decide
--- a/packages/decide/part_evidence.h
+++ b/packages/decide/part_evidence.h
@@ -48,6 +48,9 @@
   /// The number of parts for which `isDeadly` holds.
   std::size_t deadlyParts() const;
 
+  /// The parts for which `isDeadly` holds and their rivals, in order.
+  std::vector<std::string> partsThatBlock() const;
+
 private:
   // Parts with the same crashes. Groups are named by their index.
   struct Group {
--- a/packages/forward/forward_node.cpp
+++ b/packages/forward/forward_node.cpp
@@ -1,5 +1,6 @@
 #include "forward/forward_node.h"
 
+#include "forward/block_store.h"
 #include "forward/engine_watch.h"
 #include "forward/forward_call.h"
 #include "forward/forward_state.h"
@@ -88,6 +89,7 @@
         m_StoreWatch(m_State, [this] { onConfig(); }), m_EngineWatch(m_State),
         m_ReachExchange(m_State), m_LayerControl(m_State, m_ReachExchange),
         m_LoadExchange(m_State), m_LimitExchange(m_State),
+        m_BlockStore(m_State),
         m_Callers(makeServer(m_State.m_Settings.callers(),
                              [this](net::HttpExchange &Exchange) {
                                return serveRequest(Exchange,
@@ -124,6 +126,7 @@
     keepRunning(m_Io, "engines", [this] { return m_EngineWatch.run(); });
     keepRunning(m_Io, "loads", [this] { return m_LoadExchange.run(); });
     keepRunning(m_Io, "limits", [this] { return m_LimitExchange.run(); });
+    keepRunning(m_Io, "blocks", [this] { return m_BlockStore.run(); });
     keepRunning(m_Io, "layers", [this] { return m_LayerControl.run(); });
     keepRunning(m_Io, "signals", [this] { return signalLoop(); });
     router::logEvent(schema::INFO, "started",
@@ -283,6 +286,7 @@
   LayerControl m_LayerControl;
   LoadExchange m_LoadExchange;
   LimitExchange m_LimitExchange;
+  BlockStore m_BlockStore;
   std::unique_ptr<net::HttpServer> m_Callers;
   std::unique_ptr<net::HttpServer> m_Readiness;
   std::unique_ptr<net::HttpServer> m_MetricsPage;
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -177,8 +177,8 @@
 }
 
 void ForwardState::onMarksChanged(
-    const std::vector<decide::ChangedMark> &Changes,
-    const std::string &Source) {
+    const std::vector<decide::ChangedMark> &Changes, const std::string &Source,
+    SeenBy Finder) {
   if (Changes.empty())
     return;
   for (const decide::ChangedMark &Changed : Changes) {
@@ -203,6 +203,12 @@
       static_cast<double>(m_Suspects.blocked(decide::MarkKind::PromptPart)));
   m_Metrics.setGauge("blocked_requests", static_cast<double>(m_Suspects.blocked(
                                              decide::MarkKind::Request)));
+  if (m_OnBlockChange && Finder != SeenBy::Store &&
+      std::any_of(Changes.begin(), Changes.end(), [](const auto &Changed) {
+        return Changed.m_WasBlocked ||
+               Changed.m_Change == decide::MarkChange::Blocked;
+      }))
+    m_OnBlockChange(Finder);
   // What is cleared can wait for the next round.
   if (m_TellRouters &&
       std::any_of(Changes.begin(), Changes.end(), [](const auto &Changed) {
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -57,9 +57,11 @@
 
   decide::WindowedRetryBudget &retryBudgetOf(const ServiceId &Service);
 
-  /// Whether configuration and registry have been read, so that requests can be
-  /// served.
-  bool ready() const { return m_Routes.current() && m_RegistryRead; }
+  /// Whether configuration and registry have been read, and the blocked marks
+  /// been asked for, so that requests can be served.
+  bool ready() const {
+    return m_Routes.current() && m_RegistryRead && m_BlocksAsked;
+  }
 
   /// Interval between two reads of the registry while it changes.
   Duration registryInterval() const {
@@ -149,9 +151,13 @@
   /// it was started again since.
   void onResponded(const EndpointId &Endpoint);
 
-  /// Logs what became of marks and has it told to other routers.
+  /// Who found out what became of marks.
+  enum class SeenBy { Self, Other, Store };
+
+  /// Logs what became of marks, has it told to other routers and written to the
+  /// store.
   void onMarksChanged(const std::vector<decide::ChangedMark> &Changes,
-                      const std::string &Source);
+                      const std::string &Source, SeenBy Finder = SeenBy::Self);
 
   /// Logs a change of a limit, counts it and has it told to other routers.
   void onLimitChange(const EndpointId &Endpoint, decide::LimitChange Change,
@@ -170,6 +176,7 @@
   decide::Random m_Random;
   const Instant m_StartedAt = now();
   bool m_RegistryRead = false;
+  bool m_BlocksAsked = false;    // the store, whether it has answered or not
   decide::StoreEra m_StoreEra{}; // latest that the store or a router stated
   bool m_Draining = false;
   // Requests that arrive later are refused: the listener is closed, and their
@@ -188,6 +195,7 @@
   decide::OwnReach m_Reach;
   decide::PeerChooser m_PeerChooser;
   std::function<void()> m_TellRouters; // they are to hear of a change
+  std::function<void(SeenBy Finder)> m_OnBlockChange; // of any mark
 
   // Connections to an endpoint that broke before an answer had begun, until it
   // is known whether the endpoint crashed.
--- a/packages/forward/limit_exchange.cpp
+++ b/packages/forward/limit_exchange.cpp
@@ -99,7 +99,7 @@
        m_State.m_Limits.merge(Notice, RequestedAt, ForwardState::now()))
     m_State.onLimitChange(Endpoint, Change, Notice.router());
   m_State.onMarksChanged(m_State.m_Suspects.merge(Notice, ForwardState::now()),
-                         Notice.router());
+                         Notice.router(), ForwardState::SeenBy::Other);
 }
 
 std::string LimitExchange::encodeNotice(Instant Now) {
--- a/tests/platform/forward_helpers.cpp
+++ b/tests/platform/forward_helpers.cpp
@@ -50,7 +50,11 @@
 } // namespace
 
 unsigned knownRouterCount(const ForwardRouter &Router) {
-  return readMetric(Router, "mimosadale_state{name=\"routers\"} ");
+  return stateValue(Router, "routers");
+}
+
+unsigned stateValue(const ForwardRouter &Router, const std::string &Name) {
+  return readMetric(Router, "mimosadale_state{name=\"" + Name + "\"} ");
 }
 
 unsigned eventCount(const ForwardRouter &Router, const std::string &Event) {
@@ -58,6 +62,17 @@
                     "mimosadale_events_total{event=\"" + Event + "\"} ");
 }
 
+unsigned promptStatus(const ForwardRouter &Router, const std::string &Id,
+                      const std::string &SharedParts, unsigned Events) {
+  harness::Headers Headers = requestHeaders(Id, "key", Events);
+  Headers.push_back(
+      {"X-Mimosadale-Prompt-Prefix", SharedParts + "," + Id + ":9"});
+  harness::EventStream Stream(Router.callerAddress(), "/guide/x", Headers, "x");
+  while (Stream.next())
+    continue;
+  return Stream.status() == 200 && !Stream.isComplete() ? 0 : Stream.status();
+}
+
 Streams openStreams(const ForwardRouter &Router, int Count, unsigned Events) {
   Streams OpenStreams;
   for (int I = 0; I < Count; ++I) {
--- a/tests/platform/forward_helpers.h
+++ b/tests/platform/forward_helpers.h
@@ -26,12 +26,21 @@
 /// not available.
 unsigned knownRouterCount(const ForwardRouter &Router);
 
+/// The value of the state \p Name in this router's metrics; 0 if they are not
+/// available.
+unsigned stateValue(const ForwardRouter &Router, const std::string &Name);
+
 /// How often this router has counted \p Event; 0 if its metrics are not
 /// available.
 unsigned eventCount(const ForwardRouter &Router, const std::string &Event);
 
 using Streams = std::vector<std::unique_ptr<harness::EventStream>>;
 
+/// The status of a stream whose prompt has \p SharedParts and one of its own; 0
+/// if it broke off. \param SharedParts as `id:tokens`, separated by commas.
+unsigned promptStatus(const ForwardRouter &Router, const std::string &Id,
+                      const std::string &SharedParts, unsigned Events = 40);
+
 /// Opens streams with the request ids "s0", "s1" and so on, and reads the first
 /// event of each.
 Streams openStreams(const ForwardRouter &Router, int Count, unsigned Events);
--- a/tests/process/forward_crash_test.cpp
+++ b/tests/process/forward_crash_test.cpp
@@ -12,31 +12,13 @@
 
 namespace {
 
-harness::Headers promptHeaders(const std::string &Id,
-                               const std::string &Parts) {
-  harness::Headers Headers = requestHeaders(Id);
-  Headers.push_back({"X-Mimosadale-Prompt-Prefix", Parts});
-  return Headers;
-}
-
-// Sends a request with the part that crashes engines. \returns its status; 0 if
-// the answer broke off.
+// Sends a request with the part that crashes engines.
 unsigned sendDeadly(const ForwardRouter &Router, const std::string &Id) {
-  harness::EventStream Stream(
-      Router.callerAddress(), "/guide/x",
-      promptHeaders(Id, "shared:40,deadly:300," + Id + ":9"), "x");
-  while (Stream.next())
-    continue;
-  return Stream.status() == 200 && !Stream.isComplete() ? 0 : Stream.status();
+  return promptStatus(Router, Id, "shared:40,deadly:300");
 }
 
 bool soundIsServed(const ForwardRouter &Router, const std::string &Id) {
-  harness::EventStream Stream(
-      Router.callerAddress(), "/guide/x",
-      promptHeaders(Id, "shared:40,sound:300," + Id + ":9"), "x");
-  while (Stream.next())
-    continue;
-  return Stream.status() == 200 && Stream.isComplete();
+  return promptStatus(Router, Id, "shared:40,sound:300") == 200;
 }
 
 } // namespace
@@ -97,26 +79,17 @@
     REQUIRE(harness::waitUntil([&] { return knownRouterCount(*Router) == 2; }));
   }
   Platform.crashOnPart("deadly");
-  const auto Status = [](const ForwardRouter &Router, const std::string &Id,
-                         const std::string &Shared) {
-    harness::EventStream Stream(Router.callerAddress(), "/guide/x",
-                                promptHeaders(Id, Shared + "," + Id + ":9"),
-                                Id);
-    while (Stream.next())
-      continue;
-    return Stream.status();
-  };
-  Status(R1, "first", "new:40,deadly:300");
+  promptStatus(R1, "first", "new:40,deadly:300");
   REQUIRE(Platform.crashedEngines().size() == 2);
   for (const ForwardRouter *Router : {&R1, &R2}) {
     CAPTURE(Router->log());
     CHECK(harness::waitUntil(
-        [&] { return Status(*Router, "sound", "new:40") == 200; }, 15s));
+        [&] { return promptStatus(*Router, "sound", "new:40") == 200; }, 15s));
   }
   const std::size_t Crashed = Platform.crashedEngines().size();
   for (const ForwardRouter *Router : {&R1, &R2}) {
-    CHECK(Status(*Router, "again", "new:40,deadly:300") == 503);
-    CHECK(Status(*Router, "other", "old:40,deadly:300") == 503);
+    CHECK(promptStatus(*Router, "again", "new:40,deadly:300") == 503);
+    CHECK(promptStatus(*Router, "other", "old:40,deadly:300") == 503);
   }
   CHECK(Platform.crashedEngines().size() == Crashed);
 }
