Only an answer that ends or lasts acquits; a crash before that accuses

The part was never blocked, sound streams were broken off with the engines or refused.

Cause: the second event of an answer acquitted all parts of the request and disproved what spoke against them, and a crash after it accused nobody.

Change: a request is answered when a success has ended or has gone on for two seconds after its first event; a crash before that accuses its marks. Failures that an endpoint states acquit no more: a 504 may come from its queue. Where an answer had begun at a crash, three crashes block a part instead of two, since ordinary crashes meet many such answers. A suspect keeps others waiting until 0.3 s after its first event.

--- a/packages/decide/crash_record.h
+++ b/packages/decide/crash_record.h
@@ -13,6 +13,9 @@
 struct CrashRecord {
   Instant m_SentAt{}; // when the request was sent there
   Instant m_At{};
+  // The answer had its first event: most answers that ordinary crashes meet
+  // have, so that it says less.
+  bool m_Begun = false;
 };
 
 /// By endpoint and its start: the same at all routers.
--- a/packages/decide/crash_suspects.cpp
+++ b/packages/decide/crash_suspects.cpp
@@ -21,6 +21,10 @@
 // The same as the first for a request that an answer had cleared before.
 constexpr std::size_t CrashesToBlockCleared = 5;
 
+// A deadly request may have some events before its endpoint crashes; an
+// endpoint that has written for so long has long since begun.
+constexpr Duration LastingTime = std::chrono::seconds(2);
+
 // Time after a crash that may block a request for which it is not sent: within
 // it other routers tell which requests lay on the same endpoint.
 constexpr Duration SettlingTime = std::chrono::milliseconds(300);
@@ -270,7 +274,7 @@
                          }));
 }
 
-// An answer with the mark went on: no crash before that was caused by it.
+// An endpoint answered on the mark: no crash before that was caused by it.
 void CrashSuspects::onAnswer(MarkRecord &Record, Instant AnsweredAt,
                              Instant Now) {
   if (!Record.m_Crashes.empty()) {
@@ -290,7 +294,9 @@
   MarkRecord &Record = m_Records[Mark];
   if (Record.m_Disproved.contains(Name))
     return;
-  if (Record.m_Crashes.try_emplace(Name, Crash).second) {
+  const auto [Known, IsNew] = Record.m_Crashes.try_emplace(Name, Crash);
+  if (IsNew || (Known->second.m_Begun && !Crash.m_Begun)) {
+    Known->second.m_Begun &= Crash.m_Begun;
     onChanged(Record, Now);
     m_PartEvidence.reset();
   }
@@ -298,8 +304,8 @@
     onAnswer(Record, Cleared->second, Now);
 }
 
-std::vector<ChangedMark> CrashSuspects::onAnswerBegun(const RequestMarks &Marks,
-                                                      Instant Now) {
+std::vector<ChangedMark> CrashSuspects::onAnswered(const RequestMarks &Marks,
+                                                   Instant Now) {
   const std::vector<MarkState> Before = statesOf(Marks);
   for (const RequestMark &Mark : Marks) {
     rememberCleared(Mark, Now);
@@ -309,6 +315,8 @@
   return changesSince(Marks, Before);
 }
 
+Duration CrashSuspects::lastingTime() { return LastingTime; }
+
 std::vector<ChangedMark> CrashSuspects::onCrash(const RequestMarks &Marks,
                                                 const EndpointCrash &Crash,
                                                 Instant Now) {
@@ -316,7 +324,7 @@
   const std::string Name =
       Crash.m_Endpoint.str() + "@" + std::to_string(Crash.m_StartedMs);
   for (const RequestMark &Mark : Marks) {
-    accuse(Mark, Name, {Crash.m_SentAt, Crash.m_CrashedAt}, Now);
+    accuse(Mark, Name, {Crash.m_SentAt, Crash.m_CrashedAt, Crash.m_Begun}, Now);
     Instant &SeenAt = m_Records.at(Mark).m_SeenAt;
     SeenAt = std::max(SeenAt, Now);
   }
@@ -385,6 +393,7 @@
       Statement.set_endpoint_start(Name);
       Statement.set_age_ms(ageMs(Crash.m_At, Now));
       Statement.set_sent_age_ms(ageMs(Crash.m_SentAt, Now));
+      Statement.set_begun(Crash.m_Begun);
       Statement.set_disproved(Disproved);
     }
   };
@@ -441,7 +450,8 @@
     MarkRecord &Record = m_Records[Mark];
     for (const schema::EndpointCrash &Statement : Told.crashes()) {
       const CrashRecord Crash{before(Now, Statement.sent_age_ms()),
-                              before(Now, Statement.age_ms())};
+                              before(Now, Statement.age_ms()),
+                              Statement.begun()};
       if (Statement.disproved())
         disprove(Record, Statement.endpoint_start(), Crash, Now);
       else
--- a/packages/decide/crash_suspects.h
+++ b/packages/decide/crash_suspects.h
@@ -40,25 +40,27 @@
   bool m_WasBlocked = false;
 };
 
-/// The crash of an endpoint while a request had not begun there.
+/// The crash of an endpoint that had not answered a request yet.
 struct EndpointCrash {
   EndpointId m_Endpoint;
   std::uint64_t m_StartedMs = 0; // start of the endpoint
   Instant m_SentAt{};            // when the request was sent there
   Instant m_CrashedAt{};
+  bool m_Begun = false; // the request's answer had its first event
 };
 
 /// Finds out which requests crash endpoints, by their marks, so that these are
 /// no longer sent, and those that share other marks with them are.
 ///
-/// A request that crashes each endpoint that begins to run it never has an
-/// answer that goes on. So the crash of an endpoint speaks against those marks
-/// of the requests that had not begun there, until a later answer disproves
-/// that. What is left after crashes of different endpoints at different times
-/// is blocked: prompt parts after few, as far as a request has all of those
-/// that explain the crashes (`PartEvidence`), a request itself after more.
-/// Routers tell each other which crashes speak against which marks, and which
-/// of these are disproved: each sees a few of the crashes at most.
+/// A request that crashes each endpoint that begins to run it may have some
+/// events, but no answer that ends or goes on for long. So the crash of an
+/// endpoint speaks against the marks of the requests there that it had not
+/// answered yet, until a later answer disproves that. What is left after
+/// crashes of different endpoints at different times is blocked: prompt parts
+/// after few, as far as a request has all of those that explain the crashes
+/// (`PartEvidence`), a request itself after more. Routers tell each other which
+/// crashes speak against which marks, and which of these are disproved: each
+/// sees a few of the crashes at most.
 ///
 /// A blocked mark is forgotten once no router was sent a request with it for a
 /// long time.
@@ -82,15 +84,16 @@
   /// to wait.
   std::shared_ptr<const void> takeTurn(const RequestMarks &Marks, Instant Now);
 
-  /// An answer to a request with these marks went on after its beginning.
-  std::vector<ChangedMark> onAnswerBegun(const RequestMarks &Marks,
-                                         Instant Now);
+  /// An endpoint has answered a request with these marks: the answer ended, or
+  /// has gone on for `lastingTime()` after its first event.
+  std::vector<ChangedMark> onAnswered(const RequestMarks &Marks, Instant Now);
+  static Duration lastingTime();
 
-  /// An endpoint crashed while a request with these marks had not begun there.
+  /// An endpoint crashed that had not answered a request with these marks yet.
   std::vector<ChangedMark> onCrash(const RequestMarks &Marks,
                                    const EndpointCrash &Crash, Instant Now);
 
-  /// Whether an answer was seen to go on for each of the prompt parts.
+  /// Whether an endpoint was seen to answer on each of the prompt parts.
   bool partsCleared(const RequestMarks &Marks) const;
 
   /// Whether there is something to tell other routers: news at once, and what
@@ -171,7 +174,7 @@
   void evict();
 
   std::map<RequestMark, MarkRecord> m_Records; // suspected, or cleared lately
-  // Marks of answers that began, with the time of the last one.
+  // Marks of requests that were answered, with the time of the last one.
   std::map<RequestMark, Instant> m_Cleared;
   // What the records of parts prove; made anew when they have changed.
   mutable std::optional<PartEvidence> m_PartEvidence;
--- a/packages/decide/part_evidence.cpp
+++ b/packages/decide/part_evidence.cpp
@@ -12,6 +12,9 @@
 // another cause.
 constexpr std::size_t CrashesToBlock = 2;
 
+// The same if an answer had begun at one of the crashes.
+constexpr std::size_t CrashesToBlockBegun = 3;
+
 // The same if each crash may also be due to a part that the request lacks: its
 // own may have met several deadly ones.
 constexpr std::size_t CrashesToBlockUnproven = 4;
@@ -24,6 +27,15 @@
 // so that it takes more to tell it from others that were there.
 constexpr std::size_t CrashesToBlockCleared = 5;
 
+std::size_t crashesNeeded(const AccusedPart &Part) {
+  if (Part.m_Cleared)
+    return CrashesToBlockCleared;
+  return std::any_of(Part.m_Crashes->begin(), Part.m_Crashes->end(),
+                     [](const auto &Item) { return Item.second.m_Begun; })
+             ? CrashesToBlockBegun
+             : CrashesToBlock;
+}
+
 } // namespace
 
 PartEvidence::PartEvidence(const std::vector<AccusedPart> &Parts) {
@@ -41,11 +53,14 @@
       New.m_Crashes = Found->first.second;
       New.m_Cleared = Part.m_Cleared;
       New.m_Separate = countSeparate(*Part.m_Crashes);
+      New.m_Needed = crashesNeeded(Part);
       for (const std::string &Name : New.m_Crashes)
         AtCrash[Name].push_back(m_Groups.size());
       m_Groups.push_back(std::move(New));
     }
-    ++m_Groups[Found->second].m_Size;
+    Group &Of = m_Groups[Found->second];
+    ++Of.m_Size;
+    Of.m_Needed = std::min(Of.m_Needed, crashesNeeded(Part));
     m_GroupOf[Part.m_Id] = Found->second;
   }
   for (Group &Of : m_Groups)
@@ -89,16 +104,17 @@
                                 const PartCounts &Held) const {
   if (!holdsAll(Held, Accused.m_Rivals))
     return false;
-  if (Accused.m_Cleared)
-    return Accused.m_Separate >= CrashesToBlockCleared;
   if (Accused.m_Separate < CrashesToBlock)
     return false;
+  if (Accused.m_Cleared)
+    return Accused.m_Separate >= Accused.m_Needed;
   return Accused.m_Separate >= CrashesToBlockUnproven ||
          Accused.m_Crashes.size() >= CrashesToStopTrials ||
-         std::any_of(Accused.m_AtCrash.begin(), Accused.m_AtCrash.end(),
-                     [&](const std::vector<std::size_t> &Groups) {
-                       return holdsAll(Held, Groups);
-                     });
+         (Accused.m_Separate >= Accused.m_Needed &&
+          std::any_of(Accused.m_AtCrash.begin(), Accused.m_AtCrash.end(),
+                      [&](const std::vector<std::size_t> &Groups) {
+                        return holdsAll(Held, Groups);
+                      }));
 }
 
 std::optional<RequestMark>
--- a/packages/decide/part_evidence.h
+++ b/packages/decide/part_evidence.h
@@ -16,13 +16,13 @@
 struct AccusedPart {
   std::string m_Id;
   const CrashesByName *m_Crashes = nullptr; // not empty
-  bool m_Cleared = false; // an answer with it had ended before them
+  bool m_Cleared = false; // an endpoint had answered on it before them
 };
 
 /// Tells which requests hold a part that crashes endpoints.
 ///
-/// A crash proves that some part is deadly of those that had no answer yet and
-/// were there, not which one. Parts that were at all crashes of another one
+/// A crash proves that some part is deadly of those without an answer that were
+/// there, not which one. Parts that were at all crashes of another one
 /// explain these as well: its rivals. So a request is deadly if it holds a part
 /// with enough crashes and all rivals of that part. One that lacks a rival may
 /// be sound.
@@ -58,6 +58,7 @@
     bool m_Cleared = false;
     std::size_t m_Size = 0;
     std::size_t m_Separate = 0;        // crashes
+    std::size_t m_Needed = 0;          // of them, to block requests
     std::vector<std::size_t> m_Rivals; // itself included
     // The groups that each of its crashes speaks against.
     std::vector<std::vector<std::size_t>> m_AtCrash;
--- a/packages/forward/forward_attempt.cpp
+++ b/packages/forward/forward_attempt.cpp
@@ -25,7 +25,7 @@
   m_Target = To;
   m_AbortReason = AbortReason::None;
   m_EventSeen = false;
-  m_AnswerBegun = false;
+  m_Answered = false;
   m_AnswerDropped = false;
   m_PeerAnswered = false;
   m_RepairInProgress = false;
@@ -84,10 +84,9 @@
   else if (dynamic_cast<const net::InvalidResponseError *>(&Err))
     m_State.onInvalidAnswer(m_Target.m_Endpoint,
                             ForwardState::CallPurpose::Request, Err.what());
-  else if (Err.phase() == net::Phase::Read && !m_AnswerBegun &&
-           !m_AnswerDropped)
-    m_State.onBrokenBeforeAnswer(m_Target.m_Endpoint, m_Marks,
-                                 m_AttemptStartedAt);
+  else if (Err.phase() == net::Phase::Read && !m_Answered && !m_AnswerDropped)
+    m_State.onBroken(m_Target.m_Endpoint,
+                     {m_Marks, m_AttemptStartedAt, m_EventSeen});
   return onFault(Fault, {m_Target.m_Endpoint});
 }
 
@@ -441,9 +440,8 @@
     co_return co_await relayEvents(Upstream);
   }
   co_await readBody(Upstream, Answer.m_Body);
-  if (!Announced.m_NotExecuted)
-    onAnswerBegun();
   if (Delivery) {
+    onAnswered();
     logOutcome("answered", Head.m_Status);
     m_AttemptActive = false;
     co_await writeToCaller(m_Exchange.respond(std::move(Answer)));
@@ -503,9 +501,9 @@
       m_State.m_Metrics.recordDuration(router::Timing::FirstToken,
                                        m_LastProgressAt - m_ArrivedAt);
     }
-    if (m_EventSeen)
-      onAnswerBegun();
-    m_EventSeen = true;
+    if (!std::exchange(m_EventSeen, true))
+      m_AnswerBegunAt = m_LastProgressAt;
+    onAnswerGoesOn();
     ++m_EventCount;
     co_await writeToCaller(m_Exchange.write(std::move(Complete)));
   }
@@ -513,7 +511,7 @@
   if (!m_Splitter.takeRemainder().empty())
     throw net::NetError(net::Phase::Read, false,
                         "stream ended inside an event");
-  onAnswerBegun();
+  onAnswered();
   co_await writeToCaller(m_Exchange.finish());
   if (m_RequestHeaders.m_Size && m_RequestHeaders.m_LastEventId.empty())
     m_State.m_StreamTimes.onEnded(m_RequestHeaders.m_Size->m_ExpectedAnswer,
--- a/packages/forward/forward_call.cpp
+++ b/packages/forward/forward_call.cpp
@@ -22,6 +22,10 @@
 // another router.
 constexpr Duration RetryAfterAtDrain = std::chrono::milliseconds(50);
 
+// Time after its first event for which the answer to a suspect request keeps
+// others waiting: an engine that it crashes has mostly done so by then.
+constexpr Duration SuspectAnswerTime = std::chrono::milliseconds(300);
+
 // Longest wait for the outcome of another suspect request: that of an answer's
 // beginning. Checked at the interval below.
 constexpr Duration MaxSuspectTurnWait = std::chrono::milliseconds(400);
@@ -246,7 +250,7 @@
   }
 }
 
-// A request whose connection broke before its answer had begun waits until it
+// A request whose connection broke before its answer had ended waits until it
 // is known whether the engine crashed, unless its prompt parts are known to be
 // sound. One with a suspected mark waits while another suspect is being sent,
 // whose outcome decides for both. \returns the next step if the request must
@@ -276,16 +280,27 @@
   }
 }
 
-// An endpoint that the request crashes gets no further than the beginning.
-void ForwardCall::onAnswerBegun() {
-  if (std::exchange(m_AnswerBegun, true))
+// The answer has ended, or gone on for long: an endpoint that the request
+// crashes gets no further than the first events.
+void ForwardCall::onAnswered() {
+  if (std::exchange(m_Answered, true))
     return;
   m_State.onMarksChanged(
-      m_State.m_Suspects.onAnswerBegun(m_Marks, ForwardState::now()),
+      m_State.m_Suspects.onAnswered(m_Marks, ForwardState::now()),
       m_Target.m_Endpoint.str());
   m_SuspectTurn.reset();
 }
 
+// Another suspect may be sent once this one's answer has gone on for a while;
+// what is suspected stays so.
+void ForwardCall::onAnswerGoesOn() {
+  const Duration Since = m_LastProgressAt - m_AnswerBegunAt;
+  if (Since >= SuspectAnswerTime)
+    m_SuspectTurn.reset();
+  if (Since >= decide::CrashSuspects::lastingTime())
+    onAnswered();
+}
+
 // The marks by which this request, or one like it, is recognized when it
 // arrives again.
 decide::RequestMarks ForwardCall::makeMarks() const {
--- a/packages/forward/forward_call.h
+++ b/packages/forward/forward_call.h
@@ -127,7 +127,8 @@
   boost::asio::awaitable<bool> awaitChain();
   boost::asio::awaitable<std::optional<decide::ForwardAction>>
   awaitSuspectTurn();
-  void onAnswerBegun();
+  void onAnswered();
+  void onAnswerGoesOn();
   decide::RequestMarks makeMarks() const;
   const decide::Chain *findChain(const decide::EndpointSet &Avoid, Instant Now);
   bool reserveChain(const decide::EndpointSet &Avoid, Instant Now,
@@ -171,7 +172,8 @@
   Instant m_AttemptStartedAt{};
   Instant m_LastProgressAt{};
   bool m_EventSeen = false;     // in the current attempt
-  bool m_AnswerBegun = false;   // the same, and the answer went on after it
+  Instant m_AnswerBegunAt{};    // the same; its first event
+  bool m_Answered = false;      // the same; it ended or went on for long
   bool m_PeerAnswered = false;  // its answer has begun
   bool m_AnswerDropped = false; // it may be that of another request
   decide::RequestMarks m_Marks;
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-// Requests whose marks are kept for one endpoint that may have crashed:
-// about as many as begin at a time.
+// Requests whose marks are kept for one endpoint that may have crashed.
 constexpr std::size_t MaxBrokenRequests = 64;
 
 } // namespace
@@ -136,11 +135,9 @@
     m_TellRouters();
 }
 
-void ForwardState::onBrokenBeforeAnswer(const EndpointId &Endpoint,
-                                        const decide::RequestMarks &Marks,
-                                        Instant SentAt) {
+void ForwardState::onBroken(const EndpointId &Endpoint, BrokenRequest Request) {
   const auto *Known = m_Fleet.find(Endpoint);
-  if (Marks.empty() || !Known)
+  if (Request.m_Marks.empty() || !Known)
     return;
   const auto [Entry, IsNew] = m_BrokenAt.try_emplace(Endpoint);
   if (IsNew) {
@@ -148,7 +145,7 @@
     Entry->second.m_StartedMs = Known->m_Record.m_StartedMs;
   }
   if (Entry->second.m_Requests.size() < MaxBrokenRequests)
-    Entry->second.m_Requests.emplace_back(Marks, SentAt);
+    Entry->second.m_Requests.push_back(std::move(Request));
 }
 
 void ForwardState::onNoResponse(const EndpointId &Endpoint) {
@@ -157,12 +154,13 @@
     return;
   const BrokenConnections Connections = std::move(Broken->second);
   m_BrokenAt.erase(Broken);
-  for (const auto &[Marks, SentAt] : Connections.m_Requests)
-    onMarksChanged(m_Suspects.onCrash(Marks,
-                                      {Endpoint, Connections.m_StartedMs,
-                                       SentAt, Connections.m_At},
-                                      now()),
-                   Endpoint.str());
+  for (const BrokenRequest &Request : Connections.m_Requests)
+    onMarksChanged(
+        m_Suspects.onCrash(Request.m_Marks,
+                           {Endpoint, Connections.m_StartedMs, Request.m_SentAt,
+                            Connections.m_At, Request.m_Begun},
+                           now()),
+        Endpoint.str());
 }
 
 void ForwardState::onResponded(const EndpointId &Endpoint) {
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -137,11 +137,15 @@
   bool onlyLimitsRefuse(const ServiceId &Service,
                         const decide::EndpointSet &Avoided, Instant Now);
 
-  /// The connection to \p Endpoint broke before an answer to a request with
-  /// these marks, sent at \p SentAt, had begun: they are suspected if the
-  /// endpoint crashed.
-  void onBrokenBeforeAnswer(const EndpointId &Endpoint,
-                            const decide::RequestMarks &Marks, Instant SentAt);
+  /// The connection to \p Endpoint broke before an answer to \p Request had
+  /// ended or gone on for long: its marks are suspected if the endpoint
+  /// crashed.
+  struct BrokenRequest {
+    decide::RequestMarks m_Marks;
+    Instant m_SentAt{};
+    bool m_Begun = false; // its answer had its first event
+  };
+  void onBroken(const EndpointId &Endpoint, BrokenRequest Request);
 
   /// \p Endpoint does not respond: it has crashed, if connections to it broke
   /// before.
@@ -197,13 +201,12 @@
   std::function<void()> m_TellRouters; // they are to hear of a change
   std::function<void(SeenBy Finder)> m_OnBlockChange; // of any mark
 
-  // Connections to an endpoint that broke before an answer had begun, until it
+  // Connections to an endpoint that broke before an answer had ended, until it
   // is known whether the endpoint crashed.
   struct BrokenConnections {
     Instant m_At{};                // the first one
     std::uint64_t m_StartedMs = 0; // of the endpoint
-    // Marks of each request, and when it was sent.
-    std::vector<std::pair<decide::RequestMarks, Instant>> m_Requests;
+    std::vector<BrokenRequest> m_Requests;
   };
   std::map<EndpointId, BrokenConnections> m_BrokenAt;
 
--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -635,6 +635,10 @@
   m_CrashingPart = Part;
 }
 
+void FakePlatform::crashAfterEvents(unsigned Events) {
+  m_EventsBeforeCrash = Events;
+}
+
 void FakePlatform::crashOnTarget(const std::string &Target) {
   const std::lock_guard Lock(m_Mutex);
   m_CrashingTarget = Target;
@@ -915,13 +919,12 @@
     co_return;
   }
   co_await Exchange.startStream(std::move(Head));
-  if (Crashes) {
-    co_await sleepFor(m_EventInterval.load());
-    crash(Instance);
-  }
+  unsigned EventsLeft = m_EventsBeforeCrash; // if it crashes
   for (unsigned EventId = LastEventId.empty() ? 1 : std::stoul(LastEventId) + 1;
        EventId <= TokenLimit; ++EventId) {
     co_await sleepFor(m_EventInterval.load());
+    if (Crashes && EventsLeft-- == 0)
+      crash(Instance);
     const auto StalledSince = std::chrono::steady_clock::now();
     while (isStalled(Number)) {
       if (std::chrono::steady_clock::now() - StalledSince > StallTimeout) {
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -115,6 +115,8 @@
   /// as its last one, crashes: its connections break, new ones are refused, and
   /// it does not come back.
   void crashOnPart(const std::string &Part);
+  /// Engines write so many events of an answer before they crash.
+  void crashAfterEvents(unsigned Events);
   /// An endpoint that begins to run a request with this target crashes.
   void crashOnTarget(const std::string &Target);
   /// Endpoints that crash are back after this time, empty and at another
@@ -274,7 +276,8 @@
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
   std::atomic<bool> m_RepathAllowed = true;
   std::atomic<unsigned> m_EngineMemory = 1000000;
-  std::string m_CrashingPart;   // empty: none
+  std::string m_CrashingPart; // empty: none
+  std::atomic<unsigned> m_EventsBeforeCrash = 0;
   std::string m_CrashingTarget; // empty: none
   std::chrono::milliseconds m_RestartAfter{};
   std::vector<std::unique_ptr<net::HttpServer>> m_StoppedServers;
--- a/tests/process/forward_crash_test.cpp
+++ b/tests/process/forward_crash_test.cpp
@@ -93,3 +93,36 @@
   }
   CHECK(Platform.crashedEngines().size() == Crashed);
 }
+
+// Guards against a deadly part being cleared by its second event (review case
+// 10).
+TEST_CASE("engines write some events before they crash: the part is refused, "
+          "and sound streams beside it end whole") {
+  FakePlatform Platform;
+  addDefaultEndpoints(Platform);
+  Platform.setEngineMemory(100000);
+  Platform.restartCrashed(500ms);
+  ForwardRouter R1(Platform, "r1");
+  ForwardRouter R2(Platform, "r2");
+  for (ForwardRouter *Router : {&R1, &R2}) {
+    waitUntilServing(*Router);
+    REQUIRE(harness::waitUntil([&] { return knownRouterCount(*Router) == 2; }));
+    REQUIRE(soundIsServed(*Router, "before"));
+  }
+  Platform.crashOnPart("deadly");
+  Platform.crashAfterEvents(3);
+  for (const ForwardRouter *Router : {&R1, &R2}) {
+    CAPTURE(Router->log());
+    CHECK(harness::waitUntil(
+        [&] { return sendDeadly(*Router, "deadly") == 503; }, 15s));
+  }
+  // The users' rule: five crashes, and three requests some seconds after them.
+  const std::size_t Crashed = Platform.crashedEngines().size();
+  CHECK(Crashed <= 5 + 3);
+  for (const ForwardRouter *Router : {&R1, &R2}) {
+    CHECK(sendDeadly(*Router, "again") == 503);
+    CHECK(harness::waitUntil([&] { return soundIsServed(*Router, "sound"); },
+                             15s));
+  }
+  CHECK(Platform.crashedEngines().size() == Crashed);
+}
