Answers that had begun are no rivals of a request that crashes endpoints

Sound requests with long answers share such crashes with a deadly request that never begins, and tied with it, so that it took one or two crashes more to block it.

Change: against a request without any answer only those count at which an answer of the rival had not begun either.

Evidence: crash_requests_test, "long answers meet the crashes of a deadly request", fails without the change.

--- a/packages/decide/crash_suspects.cpp
+++ b/packages/decide/crash_suspects.cpp
@@ -83,24 +83,28 @@
 bool CrashSuspects::hasOwnCrashes(const RequestMark &Mark,
                                   const MarkRecord &Record,
                                   std::size_t Needed) const {
-  const auto HasCrash = [](const MarkRecord &Other) {
-    return [&Crashes = Other.m_Crashes](const auto &Item) {
-      return Crashes.contains(Item.first);
-    };
-  };
-  MarkRecord Own = Record;
+  CrashesByName Own = Record.m_Crashes;
   bool Tied = false;
   for (const auto &[Other, Rival] : m_Records) {
     if (Other.m_Kind != MarkKind::Request || Other == Mark ||
         Rival.m_Crashes.size() < Record.m_Crashes.size())
       continue;
-    if (Rival.m_Crashes.size() > Record.m_Crashes.size())
-      std::erase_if(Own.m_Crashes, HasCrash(Rival));
-    else
+    // Answers that had begun are no rivals of one that never did.
+    CrashesByName Rivalling = Rival.m_Crashes;
+    if (weightOf(Record) == CrashWeight::BeforeAnswers)
+      std::erase_if(Rivalling, [](const auto &Item) {
+        return !Item.second.m_BeforeAnswer;
+      });
+    const auto IsShared = [&](const auto &Item) {
+      return Rivalling.contains(Item.first);
+    };
+    if (Rivalling.size() > Record.m_Crashes.size())
+      std::erase_if(Own, IsShared);
+    else if (Rivalling.size() == Record.m_Crashes.size())
       Tied |= std::all_of(Record.m_Crashes.begin(), Record.m_Crashes.end(),
-                          HasCrash(Rival));
+                          IsShared);
   }
-  return countSeparate(Own.m_Crashes) >= Needed + (Tied ? 1 : 0);
+  return countSeparate(Own) >= Needed + (Tied ? 1 : 0);
 }
 
 CrashWeight CrashSuspects::weightOf(const MarkRecord &Record) {
--- a/tests/unit/crash_requests_test.cpp
+++ b/tests/unit/crash_requests_test.cpp
@@ -379,3 +379,19 @@
   CHECK(Notice.marks_size() <= 64);
   CHECK(Notice.ByteSizeLong() < 65536);
 }
+
+TEST_CASE("long answers meet the crashes of a deadly request: they are no "
+          "rivals of it, and its third crash blocks it") {
+  const RequestMark Deadly = requestMark("d");
+  const RequestMark Long = requestMark("long");
+  CrashSuspects Router;
+  Router.onAnswerBegun({Long}, T0);
+  for (int I = 0; I < 3; ++I) {
+    const Instant Now = T0 + 1s + I * 1s;
+    const EndpointId Endpoint("e" + std::to_string(I));
+    Router.onCrash({Long}, {Endpoint, 1, Now - 500ms, Now, true}, Now);
+    Router.onCrash({Deadly}, {Endpoint, 1, Now - 60ms, Now}, Now);
+  }
+  CHECK(Router.judge({Deadly}, T0 + 4s) == MarkVerdict::Deadly);
+  CHECK(Router.judge({Long}, T0 + 4s) != MarkVerdict::Deadly);
+}
