--- a/bench/decide_bench.cpp
+++ b/bench/decide_bench.cpp
@@ -1,5 +1,6 @@
 // Microbenchmarks of single decisions, by number of engines or routers.
 #include "decide/claim.h"
+#include "decide/crash_suspects.h"
 #include "decide/endpoint_directory.h"
 #include "decide/membership.h"
 #include "decide/path_chooser.h"
@@ -112,6 +113,57 @@
 }
 BENCHMARK(claimLifeCycle);
 
+// Two requests with as many prompt parts have crashed an engine each, and share
+// half of their parts.
+RequestMarks makePrompt(std::size_t Parts, std::size_t First) {
+  RequestMarks Marks;
+  for (std::size_t I = First; I < First + Parts; ++I)
+    Marks.push_back({MarkKind::PromptPart, std::to_string(I)});
+  return Marks;
+}
+
+CrashSuspects makeSuspects(std::size_t Parts) {
+  CrashSuspects Suspects;
+  for (int I = 0; I < 2; ++I) {
+    const Instant At{std::chrono::seconds(100 + I)};
+    Suspects.onCrash(makePrompt(Parts, I * Parts / 2),
+                     {EndpointId(std::to_string(I)), 1, At, At}, At);
+  }
+  return Suspects;
+}
+
+void judgePrompt(benchmark::State &State) {
+  const auto Parts = static_cast<std::size_t>(State.range(0));
+  CrashSuspects Suspects = makeSuspects(Parts);
+  const RequestMarks Marks = makePrompt(Parts, Parts / 2);
+  const Instant Now{std::chrono::seconds(102)};
+  for (auto _ : State)
+    benchmark::DoNotOptimize(Suspects.judge(Marks, Now));
+}
+BENCHMARK(judgePrompt)->Arg(10)->Arg(40)->Arg(400)->Arg(2700);
+
+void accusePrompt(benchmark::State &State) {
+  const auto Parts = static_cast<std::size_t>(State.range(0));
+  for (auto _ : State) {
+    CrashSuspects Suspects = makeSuspects(Parts);
+    benchmark::DoNotOptimize(Suspects.blocked(MarkKind::PromptPart));
+  }
+}
+BENCHMARK(accusePrompt)->Arg(10)->Arg(40)->Arg(400)->Arg(2700);
+
+void tellSuspects(benchmark::State &State) {
+  CrashSuspects Suspects =
+      makeSuspects(static_cast<std::size_t>(State.range(0)));
+  const Instant Now{std::chrono::seconds(102)};
+  for (auto _ : State) {
+    schema::LimitNotice Notice;
+    Suspects.addTo(Notice, Now);
+    CrashSuspects Other;
+    benchmark::DoNotOptimize(Other.merge(Notice, Now));
+  }
+}
+BENCHMARK(tellSuspects)->Arg(10)->Arg(40)->Arg(400)->Arg(2700);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/packages/decide/crash_suspects.cpp
+++ b/packages/decide/crash_suspects.cpp
@@ -42,8 +42,9 @@
 constexpr Duration NewsLifetime = std::chrono::seconds(4);
 constexpr Duration ReminderInterval = std::chrono::seconds(4);
 
-// Limits of what is remembered: marks of concurrent requests many times over.
-constexpr std::size_t MaxRecords = 1024;
+// Limits of what is remembered: marks of concurrent requests many times over,
+// and all parts of a request with as many as its header holds.
+constexpr std::size_t MaxRecords = 4096;
 constexpr std::size_t MaxAnswers = 16384;
 
 // A mark that was not seen for all but this part of the quiet time is not
@@ -54,8 +55,8 @@
 constexpr std::size_t MaxRowBytes = 32768;
 
 // Limits of a notice, far below the largest that is accepted.
-constexpr std::size_t MaxMarksTold = 64;
-constexpr std::size_t MaxCrashesTold = 8;
+constexpr std::size_t MaxNoticeBytes = 32768;
+constexpr std::size_t MaxCrashesTold = 32;
 
 std::uint32_t ageMs(Instant Since, Instant Now) {
   const auto Age =
@@ -453,9 +454,15 @@
       Ranked.emplace_back(isRepeated(Record), isAccused(Record),
                           Record.m_ChangedAt, Mark);
   std::sort(Ranked.rbegin(), Ranked.rend());
-  Ranked.resize(std::min(Ranked.size(), MaxMarksTold));
-  for (const auto &[Repeated, Accused, ChangedAt, Mark] : Ranked)
-    encode(Mark, m_Records.at(Mark), Now, *Notice.add_marks());
+  std::size_t Bytes = 0;
+  for (const auto &[Repeated, Accused, ChangedAt, Mark] : Ranked) {
+    schema::CrashMark Told;
+    encode(Mark, m_Records.at(Mark), Now, Told);
+    Bytes += Told.ByteSizeLong();
+    if (Bytes > MaxNoticeBytes)
+      return;
+    Notice.add_marks()->Swap(&Told);
+  }
 }
 
 void CrashSuspects::encode(const RequestMark &Mark, const MarkRecord &Record,
--- a/packages/forward/forward_state.cpp
+++ b/packages/forward/forward_state.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Requests whose marks are kept for one endpoint that may have crashed.
-constexpr std::size_t MaxBrokenRequests = 64;
+// Marks that are kept for one endpoint that may have crashed: those of all
+// requests that it runs for this router many times over.
+constexpr std::size_t MaxBrokenMarks = 16384;
 
 } // namespace
 
@@ -144,7 +145,8 @@
     Entry->second.m_At = now();
     Entry->second.m_StartedMs = Known->m_Record.m_StartedMs;
   }
-  if (Entry->second.m_Requests.size() < MaxBrokenRequests)
+  Entry->second.m_MarkCount += Request.m_Marks.size();
+  if (Entry->second.m_MarkCount <= MaxBrokenMarks)
     Entry->second.m_Requests.push_back(std::move(Request));
 }
 
--- a/packages/forward/forward_state.h
+++ b/packages/forward/forward_state.h
@@ -143,7 +143,7 @@
   struct BrokenRequest {
     decide::RequestMarks m_Marks;
     Instant m_SentAt{};
-    bool m_Begun = false; // its answer had its first event
+    bool m_Begun = false; // its answer had gone on after its first event
   };
   void onBroken(const EndpointId &Endpoint, BrokenRequest Request);
 
@@ -207,6 +207,7 @@
     Instant m_At{};                // the first one
     std::uint64_t m_StartedMs = 0; // of the endpoint
     std::vector<BrokenRequest> m_Requests;
+    std::size_t m_MarkCount = 0; // of all that were added or left out
   };
   std::map<EndpointId, BrokenConnections> m_BrokenAt;
 
