--- a/packages/decide/part_evidence.h
+++ b/packages/decide/part_evidence.h
@@ -14,8 +14,8 @@
 
 /// How much the crashes at which a mark was say against it, most first.
 enum class CrashWeight {
-  BeforeAnswers, // no answer with it has begun
-  DuringAnswers, // none has ended or lasted, and one had begun at each
+  BeforeAnswers, // no answer with it has ever begun
+  DuringAnswers, // answers begin, but none has ended or lasted
   Cleared        // it was sound before
 };
 
@@ -30,10 +30,10 @@
 /// Tells which requests hold a part that crashes endpoints.
 ///
 /// A crash proves that some part is deadly of those that were there, not which
-/// one. Parts that were at all crashes of another one
-/// explain these as well: its rivals. So a request is deadly if it holds a part
-/// with enough crashes and all rivals of that part. One that lacks a rival may
-/// be sound.
+/// one. Parts that were at all crashes of another one, and against which these
+/// say as much, explain them as well: its rivals. So a request is deadly if it
+/// holds a part with enough crashes and all rivals of that part. One that lacks
+/// a rival may be sound.
 ///
 /// \par Thread safety
 /// Immutable; safe from any thread.
@@ -65,7 +65,7 @@
     std::vector<std::string> m_Crashes; // names, in order
     CrashWeight m_Weight = CrashWeight::BeforeAnswers;
     std::size_t m_Size = 0;
-    std::size_t m_Separate = 0;        // crashes
+    std::size_t m_Separate = 0;        // crashes of that weight
     bool m_Alone = false;              // one of the parts was, at a crash
     std::vector<std::size_t> m_Rivals; // itself included
     // The groups that each of its crashes speaks against.
