--- a/tests/unit/blocked_row_test.cpp
+++ b/tests/unit/blocked_row_test.cpp
@@ -57,7 +57,7 @@
 // Guards against blocked parts being forgotten when all routers end at once
 // (review case 8).
 TEST_CASE("what is blocked outlasts all routers, with what is not known of "
-          "parts that came together; suspects do not") {
+          "parts that came together, but suspects do not") {
   const CrashSuspects Before = blockingRouter();
   const schema::BlockedMarks Row = rowOf(Before, T0 + 2s);
   CHECK(Row.marks_size() == 2);
