--- a/review/stand-in-3/stand_in.cpp
+++ b/review/stand-in-3/stand_in.cpp
@@ -597,6 +597,10 @@
       return "";
     }
   }
+  if (Status == 0) { // it has run, and its answer is lost
+    m_Log.line("worker " + m_Id + " loses its answer to " + RequestId);
+    return "";
+  }
   State.emplace_back("X-Mimosadale-Server-Seal", m_Id + ".1");
   return response(Status, State, m_Id + " did " + RequestId);
 }
