--- a/review/stand-in-3/case_crashes.cpp
+++ b/review/stand-in-3/case_crashes.cpp
@@ -12,13 +12,13 @@
 namespace {
 
 constexpr unsigned RouterCount = 3;
-constexpr unsigned Workers = 12;       // of the service that is crashed
+constexpr unsigned Workers = 39;       // of the service that is crashed
 constexpr long BackAfterMs = 2000;     // a crashed worker is back
 constexpr double CpuShare = 0.25;      // Limits.CpuShare
 constexpr long TimeoutMs = 1200;       // of both routes
 constexpr long LateMs = TimeoutMs + 500;
-constexpr long CrashingMs = 75000;     // deadly requests come for so long
-constexpr long PerRouterMs = 80;       // one deadly request a router
+constexpr long CrashingMs = 95000;     // deadly requests come for so long
+constexpr long PerRouterMs = 60;       // one deadly request a router
 const char *Ip = "127.0.0.1";
 
 // A worker that begins to run a request under /guide/ and crashes on it.
