--- a/review/stand-in-3/case_attempts.cpp
+++ b/review/stand-in-3/case_attempts.cpp
@@ -1,6 +1,6 @@
 // Case: a router that reaches no worker hands requests over; the router that
-// has them is killed, and they go to a third one. In one client attempt they run
-// on more workers than the route's MaxAttempts.
+// has them is killed, and they go to a third one. In one client attempt they
+// run on more workers than the route's MaxAttempts.
 #include "plain_fleet.h"
 
 #include <random>
@@ -41,9 +41,9 @@
     };
     if (Draw() < ErrorShare)
       return std::pair(500, 30L);
-    const bool Lost =
-        Losing && Loses[Request.header("X-Mimosadale-Expect-Instance")] &&
-        Draw() < LostShare;
+    const bool Lost = Losing &&
+                      Loses[Request.header("X-Mimosadale-Expect-Instance")] &&
+                      Draw() < LostShare;
     return std::pair(Lost ? 0 : 200, WorkMs);
   });
   if (!Fleet.start()) {
--- a/review/stand-in-3/case_crashes.cpp
+++ b/review/stand-in-3/case_crashes.cpp
@@ -12,13 +12,13 @@
 namespace {
 
 constexpr unsigned RouterCount = 3;
-constexpr unsigned Workers = 39;       // of the service that is crashed
-constexpr long BackAfterMs = 2000;     // a crashed worker is back
-constexpr double CpuShare = 0.25;      // Limits.CpuShare
-constexpr long TimeoutMs = 1200;       // of both routes
+constexpr unsigned Workers = 39;   // of the service that is crashed
+constexpr long BackAfterMs = 2000; // a crashed worker is back
+constexpr double CpuShare = 0.25;  // Limits.CpuShare
+constexpr long TimeoutMs = 1200;   // of both routes
 constexpr long LateMs = TimeoutMs + 500;
-constexpr long CrashingMs = 95000;     // deadly requests come for so long
-constexpr long PerRouterMs = 60;       // one deadly request a router
+constexpr long CrashingMs = 95000; // deadly requests come for so long
+constexpr long PerRouterMs = 60;   // one deadly request a router
 const char *Ip = "127.0.0.1";
 
 // A worker that begins to run a request under /guide/ and crashes on it.
@@ -26,8 +26,7 @@
 public:
   FragileWorker(Record &Log, Store &Platform, unsigned Number)
       : m_Log(Log), m_Platform(Platform), m_Id("g" + std::to_string(Number)),
-        m_Born(bornNow()),
-        m_Listener(Ip, [this](const Message &Request, int) {
+        m_Born(bornNow()), m_Listener(Ip, [this](const Message &Request, int) {
           return handle(Request);
         }) {
     publish();
@@ -44,15 +43,19 @@
   void publish() {
     m_Platform.putWorker(
         m_Id,
-        {{"Service", "guide-app"}, {"Zone", "fukuoka"},
-         {"Version", "v1"},        {"Slots", 64},
-         {"State", "ready"},       {"ColdRemainingMs", 0},
-         {"Sequence", 0},          {"born", m_Born.load()}},
+        {{"Service", "guide-app"},
+         {"Zone", "fukuoka"},
+         {"Version", "v1"},
+         {"Slots", 64},
+         {"State", "ready"},
+         {"ColdRemainingMs", 0},
+         {"Sequence", 0},
+         {"born", m_Born.load()}},
         std::vector<std::string>(RouterCount, m_Listener.address()));
   }
   std::string handle(const Message &Request) {
-    const Headers Echo{{"X-Mimosadale-Request-Id",
-                        Request.header("X-Mimosadale-Request-Id")}};
+    const Headers Echo{
+        {"X-Mimosadale-Request-Id", Request.header("X-Mimosadale-Request-Id")}};
     if (Request.target() == "/v1/report")
       return response(200, Echo,
                       "{\"Busy\":false,\"born\":" + std::to_string(m_Born) +
@@ -91,22 +94,18 @@
 std::string configuration() {
   const auto Route = [](const char *Name, const char *Prefix, const char *Type,
                         int Attempts, const char *Service) {
-    return json::object{{"Name", Name},
-                        {"Host", "rental.example"},
-                        {"Prefix", Prefix},
-                        {"RouteType", Type},
-                        {"TimeoutMs", TimeoutMs},
-                        {"TargetLatencyMs", 150},
-                        {"Priority", 2},
-                        {"MaxAttempts", Attempts},
+    return json::object{{"Name", Name},           {"Host", "rental.example"},
+                        {"Prefix", Prefix},       {"RouteType", Type},
+                        {"TimeoutMs", TimeoutMs}, {"TargetLatencyMs", 150},
+                        {"Priority", 2},          {"MaxAttempts", Attempts},
                         {"Service", Service}};
   };
   return json::serialize(json::object{
       {"Version", 3},
       {"Routes",
-       json::array{Route("guide", "/guide/", "idempotent", 2, "guide-app"),
-                   Route("deposit", "/deposit/", "non_idempotent", 1,
-                         "booking-app")}},
+       json::array{
+           Route("guide", "/guide/", "idempotent", 2, "guide-app"),
+           Route("deposit", "/deposit/", "non_idempotent", 1, "booking-app")}},
       {"Services", json::array{json::object{{"Name", "guide-app"}},
                                json::object{{"Name", "booking-app"}}}},
       {"Limits", json::object{{"MaxHeaderBytes", 16384},
@@ -158,9 +157,9 @@
         RouterCount, Ip, [](const Message &) { return std::pair(200, 30L); }));
   std::vector<std::unique_ptr<Router>> Routers;
   for (unsigned I = 0; I < RouterCount; ++I)
-    Routers.push_back(std::make_unique<Router>(
-        Log, "r" + std::to_string(I + 1), "fukuoka", Platform.address(I),
-        temporaryFolder(), Ip, "196"));
+    Routers.push_back(std::make_unique<Router>(Log, "r" + std::to_string(I + 1),
+                                               "fukuoka", Platform.address(I),
+                                               temporaryFolder(), Ip, "196"));
   for (const auto &Started : Routers)
     if (!Started->waitReady(15000))
       return 2;
@@ -207,9 +206,8 @@
   std::atomic<unsigned> Control{0}, SlowControl{0};
   std::thread Direct([&] {
     Store Own(Log, 1, Ip);
-    Listener Echo(Ip, [](const Message &, int) {
-      return response(200, {}, "");
-    });
+    Listener Echo(Ip,
+                  [](const Message &, int) { return response(200, {}, ""); });
     while (!Stop) {
       const long At = nowMs();
       call(Echo.address(), "GET", "/", {}, "", 5000);
@@ -227,8 +225,8 @@
     sleepMs(Next - nowMs());
     if (nowMs() >= NextReport) {
       NextReport += 10000;
-      Log.line("processor time of r1 " + std::to_string(UsedMs[0]) + " ms, r2 " +
-               std::to_string(UsedMs[1]) + " ms, r3 " +
+      Log.line("processor time of r1 " + std::to_string(UsedMs[0]) +
+               " ms, r2 " + std::to_string(UsedMs[1]) + " ms, r3 " +
                std::to_string(UsedMs[2]) + " ms");
     }
     for (unsigned I = 0; I < RouterCount; ++I) {
@@ -261,8 +259,8 @@
   for (const auto &Each : Fragile)
     Crashes += Each->crashes();
   Log.line(std::to_string(Deadly) + " deadly requests, " +
-           std::to_string(Crashes) + " crashes; " + std::to_string(SlowControl) + " of " +
-           std::to_string(Control) +
+           std::to_string(Crashes) + " crashes; " +
+           std::to_string(SlowControl) + " of " + std::to_string(Control) +
            " answers of a stand-in without a router took over 250 ms");
   Log.line(std::to_string(SoundSent) + " sound requests of another service, " +
            std::to_string(Served) + " answered with 200, " +
--- a/review/stand-in-3/case_hang.cpp
+++ b/review/stand-in-3/case_hang.cpp
@@ -1,6 +1,6 @@
-// Case: streams whose prompt holds a part that crashes workers wait, as suspects,
-// to go on at another worker; their callers leave, and the router no longer
-// answers anybody.
+// Case: streams whose prompt holds a part that crashes workers wait, as
+// suspects, to go on at another worker; their callers leave, and the router no
+// longer answers anybody.
 #include "../stand-in-2/models.h"
 
 #include <csignal>
@@ -57,9 +57,8 @@
   std::vector<std::unique_ptr<Router>> Fleet;
   for (unsigned I = 0; I < Routers; ++I) {
     static const char *Zones[] = {"fukuoka", "kumamoto", "kagoshima"};
-    Fleet.push_back(std::make_unique<Router>("front-" + std::to_string(I + 1),
-                                             Zones[I], Platform.address(),
-                                             Temp));
+    Fleet.push_back(std::make_unique<Router>(
+        "front-" + std::to_string(I + 1), Zones[I], Platform.address(), Temp));
     Fleet.back()->start();
   }
   if (!waitUntil(40, [&] {
@@ -86,13 +85,12 @@
           const std::string Id = "plain-" + std::to_string(I) + "-" +
                                  std::to_string(K) + "-" + std::to_string(N);
           const double At = now();
-          const Reply Got =
-              call(Fleet[I]->callers(), "POST", "/book/a",
-                   {{"Host", "a.example"},
-                    {"X-Mimosadale-Request-Id", Id},
-                    {"X-Mimosadale-Deadline-Ms", "4000"},
-                    {"Authorization", "Bearer key1"}},
-                   "seat", 4);
+          const Reply Got = call(Fleet[I]->callers(), "POST", "/book/a",
+                                 {{"Host", "a.example"},
+                                  {"X-Mimosadale-Request-Id", Id},
+                                  {"X-Mimosadale-Deadline-Ms", "4000"},
+                                  {"Authorization", "Bearer key1"}},
+                                 "seat", 4);
           const double Took = now() - At;
           ++Asked;
           AtTimeout += Took > TimeoutS;
@@ -134,8 +132,7 @@
     }
     sleepS(0.1);
     for (unsigned I = 0; I < 2; ++I) {
-      Open(0, std::string(Template) + "," + Part + ":60",
-           I == 0 ? 3 : 0.13);
+      Open(0, std::string(Template) + "," + Part + ":60", I == 0 ? 3 : 0.13);
       sleepS(0.35);
     }
     sleepUntil(From + RoundS);
--- a/review/stand-in-3/case_leaving.cpp
+++ b/review/stand-in-3/case_leaving.cpp
@@ -7,9 +7,7 @@
 int main() {
   constexpr long DrainMs = 2000;
   Record Log(caseFolder() + "/record.txt");
-  PlainFleet Fleet(Log, 8, [](const Message &) {
-    return std::pair(200, 30L);
-  });
+  PlainFleet Fleet(Log, 8, [](const Message &) { return std::pair(200, 30L); });
   if (!Fleet.start()) {
     Log.line("the routers did not become ready");
     return 2;
@@ -85,7 +83,8 @@
            std::to_string(Broken) + " requests break the rule");
   // Without the disruption the store tells of a leaving as early as answers do.
   if (Answered == 0 || (Trouble && PassedOn.empty())) {
-    Log.line("the case could not run: no answer with Server-Leaving came by r1");
+    Log.line(
+        "the case could not run: no answer with Server-Leaving came by r1");
     return 2;
   }
   return Broken > 0 ? 1 : 0;
--- a/review/stand-in-3/case_memory.cpp
+++ b/review/stand-in-3/case_memory.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr long MemoryMb = 260;             // Limits.MemoryMb
-constexpr double LinkMbps = 1000;          // Limits.LinkMbps
+constexpr long MemoryMb = 260;                // Limits.MemoryMb
+constexpr double LinkMbps = 1000;             // Limits.LinkMbps
 constexpr std::size_t MaxBodyBytes = 4194304; // Limits of the configuration
 constexpr std::size_t BodyBytes = 4000000;
 constexpr long HeaderTimeoutMs = 3000;
@@ -56,14 +56,12 @@
     const long Begin = nowMs();
     std::size_t Sent = 0;
     while (Sent < Bytes) {
-      const long Due =
-          Begin + static_cast<long>(static_cast<double>(Sent) /
-                                    static_cast<double>(Bytes) *
-                                    static_cast<double>(OverMs));
+      const long Due = Begin + static_cast<long>(static_cast<double>(Sent) /
+                                                 static_cast<double>(Bytes) *
+                                                 static_cast<double>(OverMs));
       sleepMs(Due - nowMs());
-      const ssize_t N = ::send(Fd, Piece.data(),
-                               std::min(Piece.size(), Bytes - Sent),
-                               MSG_NOSIGNAL);
+      const ssize_t N = ::send(
+          Fd, Piece.data(), std::min(Piece.size(), Bytes - Sent), MSG_NOSIGNAL);
       if (N <= 0)
         break;
       Sent += static_cast<std::size_t>(N);
@@ -144,8 +142,9 @@
       if ((End = Answer.find("\r\n\r\n")) != std::string::npos) {
         const std::size_t Length = Answer.find("Content-Length: ");
         if (Length < End &&
-            Answer.size() >= End + 4 + std::strtoul(Answer.c_str() + Length + 16,
-                                                    nullptr, 10))
+            Answer.size() >=
+                End + 4 +
+                    std::strtoul(Answer.c_str() + Length + 16, nullptr, 10))
           break;
       }
       if (nowMs() > Until)
@@ -173,9 +172,9 @@
   const bool Trouble = withTrouble();
   const std::size_t Bytes = Trouble ? BodyBytes : 3600;
   // All uploads to one machine together fill its link.
-  const long OverMs = static_cast<long>(
-      static_cast<double>(Clients) * static_cast<double>(BodyBytes) * 8 /
-      (LinkMbps * 1e6) * 1000);
+  const long OverMs = static_cast<long>(static_cast<double>(Clients) *
+                                        static_cast<double>(BodyBytes) * 8 /
+                                        (LinkMbps * 1e6) * 1000);
   Log.line(std::to_string(Clients) + " clients for each of r1 and r2 send " +
            std::to_string(Bytes) + " bytes each over " +
            std::to_string(OverMs) + " ms");
--- a/review/stand-in-3/stand_in.cpp
+++ b/review/stand-in-3/stand_in.cpp
@@ -253,18 +253,17 @@
 
 std::string response(int Status, const Headers &Extra,
                      const std::string &Body) {
-  std::string Text = "HTTP/1.1 " + std::to_string(Status) + " " +
-                     reasonOf(Status) + "\r\n";
+  std::string Text =
+      "HTTP/1.1 " + std::to_string(Status) + " " + reasonOf(Status) + "\r\n";
   for (const auto &[Name, Value] : Extra)
     Text += Name + ": " + Value + "\r\n";
-  return Text + "Content-Length: " + std::to_string(Body.size()) +
-         "\r\n\r\n" + Body;
+  return Text + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
 }
 
 bool peerClosed(int Connection) {
   char Byte;
-  const ssize_t N =
-      ::recv(Connection, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t N = ::recv(Connection, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return N == 0 || (N < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -530,9 +529,8 @@
 }
 
 json::object Worker::entry(const std::string &State) const {
-  return {{"Service", m_Service}, {"Zone", m_Zone},
-          {"Version", "v1"},      {"Slots", 64},
-          {"State", State},       {"ColdRemainingMs", 0},
+  return {{"Service", m_Service}, {"Zone", m_Zone}, {"Version", "v1"},
+          {"Slots", 64},          {"State", State}, {"ColdRemainingMs", 0},
           {"Sequence", 0},        {"born", m_Born}};
 }
 
--- a/review/stand-in-3/stand_in.h
+++ b/review/stand-in-3/stand_in.h
@@ -137,8 +137,8 @@
     std::string m_RequestId;
     bool m_Ran = false;
   };
-  /// Chooses what becomes of a request: its status, 0 if its answer is lost, and
-  /// its time of work.
+  /// Chooses what becomes of a request: its status, 0 if its answer is lost,
+  /// and its time of work.
   using Behaviour = std::function<std::pair<int, long>(const Message &)>;
 
   Worker(Record &Log, Store &Platform, std::string Id, std::string Service,
